--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,632 @@
+//! All decisions of a server; the types, events and actions are in `src/interface.rs`.
+//!
+//! The ordinary path is the SWDS mechanism: one hold in arrival order, a search of at most
+//! [`LOOK_AHEAD`] places for the oldest request of the highest level whenever a run slot is free, and
+//! a limit on running requests that climbs towards more completions. All else here is a guard.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{
+    Action, Arrival, BadSettings, Below, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings,
+};
+
+/// Places of the hold that one search looks at.
+const LOOK_AHEAD: usize = 32;
+/// Under this reading of the cpu gauge free cores are to be filled (the design's figure).
+const BUSY: f64 = 0.8;
+/// Time between readings of the gauges.
+const READ_EVERY: Micros = 100_000;
+/// Time between steps of the climbing limit: long enough to count completions a core.
+const CLIMB_EVERY: Micros = 1_000_000;
+/// Share of the survivable crowd, memory or calls that is made use of.
+const SAFE_SHARE: f64 = 0.85;
+/// Weight of the newest sample in running means.
+const NEWEST: f64 = 0.1;
+/// A server whose share of failed runs is above the first is sick until it is under the second.
+const SICK: (f64, f64) = (0.35, 0.15);
+/// Tries of one call, and failures in a row after which calls are only probed.
+const CALL_TRIES: u32 = 3;
+
+/// Where a request stands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stage {
+    Held,
+    Running,
+    /// Waits for the answer of the request that it repeats.
+    Joined,
+    /// Needs a call, not before the stated time.
+    AtCall(Micros),
+    Calling,
+}
+
+struct Request {
+    id: RequestId,
+    class: usize,
+    tenant: usize,
+    /// Worth of its class, read from its rank.
+    worth: f64,
+    held_kb: f64,
+    hint: Option<f64>,
+    stage: Stage,
+    /// Answered, or nobody waits: only its work is still here.
+    over: bool,
+    /// Its answer must be out by then.
+    due: Micros,
+    /// After this an answer is worth little or nothing.
+    need: Micros,
+    late: bool,
+    started: Micros,
+    call_tries: u32,
+    /// A call of it may have taken effect.
+    call_spent: bool,
+}
+
+/// The climbing limit on running requests.
+struct Limit {
+    slots: usize,
+    step: isize,
+    done: u32,
+    before: f64,
+    next: Micros,
+}
+
+/// What is known of the calls below.
+#[derive(Default)]
+struct Calls {
+    typical: Option<f64>,
+    failures: u32,
+    probe_at: Micros,
+    /// Ends of calls given up that the dependency may still hold.
+    lingering: Vec<Micros>,
+    /// Mean number in hand, and when it was last brought up to date.
+    mean: f64,
+    seen: Micros,
+}
+
+/// The decisions of one server.
+pub struct Server {
+    set: Settings,
+    born: Micros,
+    next: u64,
+    all: BTreeMap<u64, Request>,
+    names: BTreeMap<RequestId, u64>,
+    /// Held requests in arrival order.
+    hold: Vec<u64>,
+    /// Kept keys and when they run out.
+    keys: BTreeMap<RequestId, Micros>,
+    worths: Vec<f64>,
+    limit: Limit,
+    calls: Calls,
+    /// Mean time of a run by class, and for each microsecond of hinted work.
+    pace: Vec<Option<f64>>,
+    pace_hint: Option<f64>,
+    errors: f64,
+    sick: bool,
+    probe_at: Micros,
+    /// Arrivals a second by tenant, and when last brought up to date.
+    rates: Vec<(f64, Micros)>,
+    /// Notice to leave, and when the process is stopped.
+    leave: Option<(Micros, Micros)>,
+    read_at: Micros,
+    awake: bool,
+}
+
+fn blend(mean: Option<f64>, sample: f64) -> f64 {
+    mean.map_or(sample, |m| m + NEWEST * (sample - m))
+}
+
+impl Server {
+    /// A server that has just started.
+    pub fn new(now: Micros, set: Settings) -> Result<Server, BadSettings> {
+        set.check()?;
+        let mut worths: Vec<f64> = set.classes.iter().map(|c| c.worth).collect();
+        worths.sort_by(f64::total_cmp);
+        let limit =
+            Limit { slots: set.cores as usize, step: -1, done: 0, before: 0.0, next: now + CLIMB_EVERY };
+        Ok(Server {
+            born: now,
+            next: 0,
+            all: BTreeMap::new(),
+            names: BTreeMap::new(),
+            hold: Vec::new(),
+            keys: BTreeMap::new(),
+            worths,
+            limit,
+            calls: Calls { seen: now, ..Calls::default() },
+            pace: vec![None; set.classes.len()],
+            pace_hint: None,
+            errors: 0.0,
+            sick: false,
+            probe_at: 0,
+            rates: vec![(0.0, now); set.tenants.len()],
+            leave: None,
+            read_at: now,
+            awake: false,
+            set,
+        })
+    }
+
+    /// Takes in what happened and adds what is to be done about it.
+    pub fn step(&mut self, now: Micros, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
+        self.count_calls(now);
+        for event in events {
+            self.take(now, event, out);
+        }
+        self.answer_due(now, out);
+        self.shed(now, out);
+        self.make_room(now, out);
+        self.serve_calls(now, out);
+        self.start(now, out);
+        if !self.awake {
+            self.awake = true;
+            out.push(Action::Wake(self.sweep()));
+        }
+    }
+
+    /// Time between sweeps: answers must be out within the slack after their due time.
+    fn sweep(&self) -> Micros {
+        (self.set.answer_slack / 3).clamp(self.set.tick.max(1_000), READ_EVERY)
+    }
+
+    fn take(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrived(arrival) => self.arrive(now, arrival, out),
+            Event::Ended(id, outcome, took) => self.ended(now, &id, outcome, took, out),
+            Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
+            Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
+            Event::Gone(id) => self.gone(&id, out),
+            Event::Leave(grace) => {
+                self.leave = Some((now, now + grace));
+                out.push(Action::Ready(false));
+            }
+            Event::Timer(gauges) => {
+                self.awake = false;
+                self.read(now, gauges, out);
+            }
+        }
+    }
+
+    // ---- arrivals -------------------------------------------------------------------------------
+
+    fn arrive(&mut self, now: Micros, a: Arrival, out: &mut Vec<Action>) {
+        let Some(class) = self.set.classes.get(a.class).cloned() else {
+            out.push(Action::Fail(a.id));
+            return;
+        };
+        let reached = now.saturating_sub(a.queued);
+        let mut due = a.waits.map_or((reached + class.deadline).max(now), |w| now + w);
+        if let Some((_, stop)) = self.leave {
+            due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
+        }
+        let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
+        let need = due.min(reached + (class.aim + stretch as Micros).min(class.deadline));
+        self.count_tenant(now, a.tenant);
+        let seq = self.next;
+        self.next += 1;
+        let place = (a.rank.clamp(0.0, 1.0) * self.worths.len() as f64) as usize;
+        let request = Request {
+            id: a.id.clone(),
+            class: a.class,
+            tenant: a.tenant,
+            worth: self.worths[place.min(self.worths.len() - 1)],
+            held_kb: a.held_kb,
+            hint: a.cost.map(|c| c as f64),
+            stage: Stage::Held,
+            over: false,
+            due,
+            need,
+            late: false,
+            started: 0,
+            call_tries: 0,
+            call_spent: false,
+        };
+        self.names.insert(a.id.clone(), seq);
+        self.all.insert(seq, request);
+        self.hold.push(seq);
+        // Drain: what reached the machine after the grace is never run, so it goes elsewhere at once.
+        if self.leave.is_some_and(|(notice, _)| reached > notice + self.set.drain_grace) {
+            self.give_up(now, seq, out);
+        } else if a.repeats.is_some() && class.effect != Effect::Unsafe {
+            // Once a try is known here no other may run: this one takes the other's answer.
+            self.hold.pop();
+            self.set_stage(&a.id, Stage::Held, Stage::Joined);
+            out.push(Action::Join(a.id));
+        } else if class.effect == Effect::Keyed {
+            self.keys.insert(a.id.clone(), now + class.window);
+            out.push(Action::Keep(a.id, class.window));
+        }
+    }
+
+    /// Keeps a tenant's rate, forgetting over some seconds.
+    fn count_tenant(&mut self, now: Micros, tenant: usize) {
+        const FORGET: f64 = 5e6;
+        if let Some((rate, seen)) = self.rates.get_mut(tenant) {
+            *rate = *rate * (-((now - *seen) as f64) / FORGET).exp() + 1e6 / FORGET;
+            *seen = now;
+        }
+    }
+
+    /// What a request is worth in view of its tenant's quota: traffic beyond it bears no mark, so each
+    /// request of a tenant that sends too much counts as within the share by that chance.
+    fn value(&self, r: &Request) -> f64 {
+        let worth = if r.late { r.worth * self.set.classes[r.class].late_worth } else { r.worth };
+        let (Some(t), Some((rate, _))) = (self.set.tenants.get(r.tenant), self.rates.get(r.tenant)) else {
+            return worth;
+        };
+        let within = (t.quota_per_s / f64::from(self.set.servers) / rate.max(1e-9)).min(1.0);
+        worth * (within + (1.0 - within) * self.set.over_share_worth)
+    }
+
+    /// The level of a request: how many class worths its own value reaches. Over quota or late it
+    /// is downgraded to a lower level.
+    fn level(&self, r: &Request) -> usize {
+        let value = self.value(r) * 1.000_001;
+        self.worths.iter().filter(|&&w| w <= value).count()
+    }
+
+    // ---- what runs ------------------------------------------------------------------------------
+
+    fn set_stage(&mut self, id: &RequestId, from: Stage, to: Stage) {
+        if let Some(r) = self.names.get(id).and_then(|seq| self.all.get_mut(seq)) {
+            if r.stage == from {
+                r.stage = to;
+            }
+        }
+    }
+
+    fn remove(&mut self, seq: u64) {
+        if let Some(r) = self.all.remove(&seq) {
+            self.names.remove(&r.id);
+            self.hold.retain(|&s| s != seq);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros, out: &mut Vec<Action>) {
+        let Some(&seq) = self.names.get(id) else { return };
+        let Some(r) = self.all.get(&seq) else { return };
+        if r.stage != Stage::Joined && matches!(outcome, Outcome::Ok | Outcome::Error) {
+            self.limit.done += 1;
+            let (class, hint) = (r.class, r.hint);
+            if outcome == Outcome::Ok {
+                self.learn(class, hint, took as f64);
+            }
+            self.judge(now, outcome == Outcome::Error, out);
+        }
+        self.remove(seq);
+    }
+
+    fn learn(&mut self, class: usize, hint: Option<f64>, took: f64) {
+        self.pace[class] = Some(blend(self.pace[class], took));
+        if let Some(hint) = hint {
+            self.pace_hint = Some(blend(self.pace_hint, took / hint.max(1.0)));
+        }
+    }
+
+    /// Expected time of a run; 0 while nothing is known.
+    fn expected(&self, r: &Request) -> f64 {
+        match (r.hint, self.pace_hint) {
+            (Some(hint), Some(pace)) => hint * pace,
+            _ => self.pace[r.class].unwrap_or(0.0),
+        }
+    }
+
+    fn count(&self, which: impl Fn(&Request) -> bool) -> usize {
+        self.all.values().filter(|r| which(r)).count()
+    }
+
+    fn running(&self) -> usize {
+        self.count(|r| r.stage == Stage::Running)
+    }
+
+    fn at_calls(&self) -> usize {
+        self.count(|r| matches!(r.stage, Stage::AtCall(_) | Stage::Calling))
+    }
+
+    /// Running requests that this server survives, fewer while it is cold.
+    fn crowd(&self, now: Micros) -> f64 {
+        let cold = if self.set.cold && self.set.cold_for > 0 {
+            let warmed = (now - self.born) as f64 / self.set.cold_for as f64;
+            (self.set.cold_from + (1.0 - self.set.cold_from) * warmed).min(1.0)
+        } else {
+            1.0
+        };
+        f64::from(self.set.cores) * (1.0 + (self.set.crowd - 1.0) * cold)
+    }
+
+    fn memory(&self) -> f64 {
+        let one = |r: &Request| match r.stage {
+            Stage::Held | Stage::Joined => r.held_kb,
+            _ => r.held_kb * self.set.run_factor,
+        };
+        self.all.values().map(one).sum::<f64>() + self.keys.len() as f64 * self.set.key_kb
+    }
+
+    fn gone(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+        let Some(&seq) = self.names.get(id) else { return };
+        let Some(r) = self.all.get_mut(&seq) else { return };
+        match r.stage {
+            Stage::Held | Stage::Joined => {
+                if r.stage == Stage::Held && self.keys.remove(id).is_some() {
+                    out.push(Action::Forget(id.clone()));
+                }
+                self.remove(seq);
+            }
+            stage => {
+                r.over = true;
+                if stage == Stage::Running && self.set.halt != Halt::Never {
+                    out.push(Action::Halt(id.clone()));
+                }
+            }
+        }
+    }
+
+    // ---- the design: the limit, the search, the start ---------------------------------------------
+
+    fn read(&mut self, now: Micros, gauges: Gauges, out: &mut Vec<Action>) {
+        if now < self.read_at {
+            return;
+        }
+        self.read_at = now + READ_EVERY;
+        self.keys.retain(|_, end| *end > now);
+        // A stop asked for while the cores stood still had no effect: ask again.
+        if self.set.halt != Halt::Never {
+            let stray = self.all.values().filter(|r| r.over && r.stage == Stage::Running);
+            out.extend(stray.map(|r| Action::Halt(r.id.clone())));
+        }
+        let running = self.running();
+        let cores = self.set.cores as usize;
+        let most = ((self.crowd(now) * SAFE_SHARE) as usize).max(cores);
+        let limit = &mut self.limit;
+        if gauges.cpu.unwrap_or(1.0) < BUSY {
+            limit.slots = running + cores;
+            limit.step = -1;
+            limit.before = 0.0;
+            limit.done = 0;
+            limit.next = now + CLIMB_EVERY;
+        } else if now >= limit.next {
+            let done = f64::from(limit.done);
+            // Counts differ by chance: less than their spread is flat.
+            let noise = limit.before.sqrt();
+            if limit.before == 0.0 || done > limit.before + noise {
+                limit.slots = limit.slots.saturating_add_signed(limit.step);
+            } else if done < limit.before - noise {
+                limit.step = -limit.step;
+                limit.slots = limit.slots.saturating_add_signed(limit.step);
+            }
+            limit.before = done;
+            limit.done = 0;
+            limit.next = now + CLIMB_EVERY;
+        }
+        limit.slots = limit.slots.clamp(cores, most);
+    }
+
+    /// The oldest request of the highest level among the first places of the hold.
+    fn pick(&self, may_start: impl Fn(&Request) -> bool) -> Option<u64> {
+        let window = self.hold.iter().take(LOOK_AHEAD);
+        let able = window.filter(|seq| may_start(&self.all[seq]));
+        // Of equal levels `max_by_key` takes the last: searched from the far end, that is the oldest.
+        able.rev().max_by_key(|seq| self.level(&self.all[seq])).copied()
+    }
+
+    fn start(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let crowd = self.crowd(now) * SAFE_SHARE;
+        loop {
+            let (running, at_calls) = (self.running(), self.at_calls());
+            // Calls may all come back at once, so those at calls count towards the survivable crowd.
+            let full = running >= self.limit.slots || (running + at_calls) as f64 + 1.0 > crowd;
+            if self.hold.is_empty() || (full && running > 0) || (self.sick && !self.may_probe(now)) {
+                return;
+            }
+            let room = self.set.memory_kb * SAFE_SHARE - self.memory();
+            let grows = self.set.run_factor - 1.0;
+            let Some(seq) = self.pick(|r| r.held_kb * grows <= room) else { return };
+            self.hold.retain(|&s| s != seq);
+            if let Some(r) = self.all.get_mut(&seq) {
+                r.stage = Stage::Running;
+                r.started = now;
+                out.push(Action::Admit(r.id.clone()));
+            }
+        }
+    }
+
+    // ---- answers --------------------------------------------------------------------------------
+
+    /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on.
+    fn answer_due(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let sweep = self.sweep();
+        let leave = self.leave.map(|(_, stop)| stop.saturating_sub(self.set.answer_slack.max(3 * sweep)));
+        let seqs: Vec<u64> = self.all.iter().filter(|(_, r)| !r.over).map(|(&s, _)| s).collect();
+        for seq in seqs {
+            let Some(r) = self.all.get_mut(&seq) else { continue };
+            if leave.is_some_and(|end| now >= end) || now + sweep > r.due {
+                self.give_up(now, seq, out);
+            } else if now >= r.need && !r.late {
+                if self.set.classes[r.class].late_worth > 0.0 {
+                    r.late = true;
+                } else {
+                    self.give_up(now, seq, out);
+                }
+            }
+        }
+    }
+
+    /// The final answer of a request that is not served.
+    fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
+        let stay_away = self.stay_away();
+        let Some(r) = self.all.get_mut(&seq) else { return };
+        let id = r.id.clone();
+        match r.stage {
+            Stage::Held => {
+                if self.keys.remove(&id).is_some() {
+                    out.push(Action::Forget(id.clone()));
+                }
+                // Nowhere can it still be served in time.
+                let terminal = now >= r.need;
+                out.push(Action::Refuse { id, stay_away, terminal });
+                self.remove(seq);
+            }
+            Stage::Joined => {
+                out.push(Action::Fail(id));
+                self.remove(seq);
+            }
+            stage => {
+                r.over = true;
+                out.push(Action::Fail(id.clone()));
+                if stage == Stage::Running && self.set.halt != Halt::Never {
+                    out.push(Action::Halt(id));
+                }
+                // It took at least so long: a server grown slow must notice by what it never finishes.
+                let (class, hint, ran) = (r.class, r.hint, (now - r.started) as f64);
+                if ran > self.pace[class].unwrap_or(0.0) {
+                    self.learn(class, hint, ran);
+                }
+            }
+        }
+    }
+
+    /// Advice: about as long as the hold takes to empty.
+    fn stay_away(&self) -> Micros {
+        if self.sick || self.leave.is_some() {
+            return self.set.advice_max;
+        }
+        let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
+        ((work / self.limit.slots as f64) as Micros).min(self.set.advice_max)
+    }
+
+    /// Refuses early what, in the order of the search, can't be done in time: the answer comes while
+    /// another server may still do it, and no work is lost on it.
+    fn shed(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.sick {
+            for seq in self.hold.clone().into_iter().skip(1) {
+                self.give_up(now, seq, out);
+            }
+            return;
+        }
+        let running = self.running();
+        let free = self.limit.slots.saturating_sub(running);
+        let slots = self.limit.slots as f64;
+        let mut order: Vec<(usize, u64)> =
+            self.hold.iter().map(|&s| (usize::MAX - self.level(&self.all[&s]), s)).collect();
+        order.sort_unstable();
+        let mut ahead = 0.0;
+        for (place, (_, seq)) in order.into_iter().enumerate() {
+            let r = &self.all[&seq];
+            let run = self.expected(r);
+            let until = if r.late { r.due } else { r.need };
+            let wait = if place < free { 0.0 } else { (ahead + run) / slots };
+            if now as f64 + wait + run > until as f64 && (place > 0 || running > 0) {
+                self.give_up(now, seq, out);
+            } else {
+                ahead += run;
+            }
+        }
+    }
+
+    /// Memory: refuses the newest of the lowest level until what is held fits.
+    fn make_room(&mut self, now: Micros, out: &mut Vec<Action>) {
+        while self.memory() > self.set.memory_kb * (1.0 + SAFE_SHARE) / 2.0 {
+            let low = self.hold.iter().rev().min_by_key(|s| self.level(&self.all[s])).copied();
+            let Some(seq) = low else { return };
+            self.give_up(now, seq, out);
+        }
+    }
+
+    // ---- health ---------------------------------------------------------------------------------
+
+    /// Keeps the share of failed runs. A server that fails quickly draws work and spoils it: it turns
+    /// away with advice, tells checks so, and lets single requests through until they do well.
+    fn judge(&mut self, now: Micros, failed: bool, out: &mut Vec<Action>) {
+        self.errors += 0.2 * (f64::from(u8::from(failed)) - self.errors);
+        let was = self.sick;
+        self.sick = self.errors > if was { SICK.1 } else { SICK.0 };
+        if was != self.sick {
+            self.probe_at = now;
+            out.push(Action::Ready(!self.sick && self.leave.is_none()));
+        }
+    }
+
+    fn may_probe(&mut self, now: Micros) -> bool {
+        let may = now >= self.probe_at && self.running() < 2;
+        if may {
+            self.probe_at = now + READ_EVERY;
+        }
+        may
+    }
+
+    // ---- calls below ----------------------------------------------------------------------------
+
+    fn in_hand(&self) -> usize {
+        self.count(|r| r.stage == Stage::Calling) + self.calls.lingering.len()
+    }
+
+    fn count_calls(&mut self, now: Micros) {
+        let in_hand = self.in_hand() as f64;
+        let span = self.set.call_window.max(1) as f64;
+        let kept = (-((now - self.calls.seen) as f64) / span).exp();
+        self.calls.mean = in_hand + (self.calls.mean - in_hand) * kept;
+        self.calls.seen = now;
+        self.calls.lingering.retain(|&end| end > now);
+    }
+
+    /// Whether one more call keeps within this server's share of what the dependency survives.
+    fn may_call(&self) -> bool {
+        if self.set.below != Below::Common {
+            return true;
+        }
+        let share = self.set.call_share * SAFE_SHARE;
+        self.in_hand() as f64 + 1.0 <= share.max(1.0) && self.calls.mean <= share
+    }
+
+    fn called(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros) {
+        let Some(r) = self.names.get(id).and_then(|seq| self.all.get_mut(seq)) else { return };
+        if r.stage != Stage::Calling {
+            return;
+        }
+        if outcome == Outcome::Ok {
+            r.stage = Stage::Running;
+            r.call_tries = 0;
+            self.calls.typical = Some(blend(self.calls.typical, took as f64));
+            self.calls.failures = 0;
+            return;
+        }
+        r.call_spent |= !outcome.never_ran();
+        r.stage = Stage::AtCall(now + (READ_EVERY / 4 << r.call_tries.min(4)));
+        if outcome == Outcome::TimedOut {
+            self.calls.lingering.push(now + self.set.call_linger);
+        }
+        self.calls.failures += 1;
+        self.calls.probe_at = now + READ_EVERY;
+    }
+
+    fn serve_calls(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let at_calls = self.all.iter().filter(|(_, r)| !r.over && matches!(r.stage, Stage::AtCall(_)));
+        for seq in at_calls.map(|(&s, _)| s).collect::<Vec<_>>() {
+            self.serve_call(now, seq, out);
+        }
+    }
+
+    fn serve_call(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
+        let may_call = self.may_call();
+        let down = self.calls.failures >= CALL_TRIES && now < self.calls.probe_at;
+        let typical = self.calls.typical.unwrap_or(0.0) as Micros;
+        let Some(r) = self.all.get_mut(&seq) else { return };
+        let class = &self.set.classes[r.class];
+        let until = if r.late { r.due } else { r.need };
+        let can_skip = class.skip_worth > 0.0;
+        let barred = r.call_spent && class.effect != Effect::Safe;
+        let hopeless = barred || r.call_tries >= CALL_TRIES || now + typical >= until;
+        if can_skip && (hopeless || down) {
+            r.stage = Stage::Running;
+            out.push(Action::SkipCall(r.id.clone()));
+        } else if hopeless {
+            self.give_up(now, seq, out);
+        } else if may_call && !down && matches!(r.stage, Stage::AtCall(from) if now >= from) {
+            r.stage = Stage::Calling;
+            r.call_tries += 1;
+            if self.calls.failures >= CALL_TRIES {
+                self.calls.probe_at = now + READ_EVERY;
+            }
+            out.push(Action::Call(r.id.clone(), until));
+        }
+    }
+}
