--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,8 +14,11 @@
 const LOOK_AHEAD: usize = 32;
 /// Under this reading of the cpu gauge free cores are to be filled (the design's figure).
 const BUSY: f64 = 0.8;
-/// Time between readings of the gauges.
-const READ_EVERY: Micros = 100_000;
+/// Time between readings of the gauges: the cpu gauge looks back half a second, so a reading sooner
+/// would add cores again for starts that it does not show yet.
+const READ_EVERY: Micros = 500_000;
+/// Time after which something that failed, or may fail, is tried again.
+const PROBE_EVERY: Micros = 100_000;
 /// Time between steps of the climbing limit: long enough to count completions a core.
 const CLIMB_EVERY: Micros = 1_000_000;
 /// Share of the survivable crowd, memory or calls that is made use of.
@@ -165,7 +168,7 @@
 
     /// Time between sweeps: answers must be out within the slack after their due time.
     fn sweep(&self) -> Micros {
-        (self.set.answer_slack / 3).clamp(self.set.tick.max(1_000), READ_EVERY)
+        (self.set.answer_slack / 3).clamp(self.set.tick.max(1_000), PROBE_EVERY)
     }
 
     fn take(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
@@ -548,7 +551,7 @@
     fn may_probe(&mut self, now: Micros) -> bool {
         let may = now >= self.probe_at && self.running() < 2;
         if may {
-            self.probe_at = now + READ_EVERY;
+            self.probe_at = now + PROBE_EVERY;
         }
         may
     }
@@ -590,12 +593,12 @@
             return;
         }
         r.call_spent |= !outcome.never_ran();
-        r.stage = Stage::AtCall(now + (READ_EVERY / 4 << r.call_tries.min(4)));
+        r.stage = Stage::AtCall(now + (PROBE_EVERY / 4 << r.call_tries.min(4)));
         if outcome == Outcome::TimedOut {
             self.calls.lingering.push(now + self.set.call_linger);
         }
         self.calls.failures += 1;
-        self.calls.probe_at = now + READ_EVERY;
+        self.calls.probe_at = now + PROBE_EVERY;
     }
 
     fn serve_calls(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -624,7 +627,7 @@
             r.stage = Stage::Calling;
             r.call_tries += 1;
             if self.calls.failures >= CALL_TRIES {
-                self.calls.probe_at = now + READ_EVERY;
+                self.calls.probe_at = now + PROBE_EVERY;
             }
             out.push(Action::Call(r.id.clone(), until));
         }
