--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,9 +100,9 @@
     worths: Vec<f64>,
     limit: Limit,
     calls: Calls,
-    /// Mean time of a run by class, and for each microsecond of hinted work.
+    /// Mean time of a run by class, and over all classes with the mean hint beside it.
     pace: Vec<Option<f64>>,
-    pace_hint: Option<f64>,
+    hinted: Option<(f64, f64)>,
     errors: f64,
     sick: bool,
     probe_at: Micros,
@@ -137,7 +137,7 @@
             limit,
             calls: Calls { seen: now, ..Calls::default() },
             pace: vec![None; set.classes.len()],
-            pace_hint: None,
+            hinted: None,
             errors: 0.0,
             sick: false,
             probe_at: 0,
@@ -301,14 +301,16 @@
     fn learn(&mut self, class: usize, hint: Option<f64>, took: f64) {
         self.pace[class] = Some(blend(self.pace[class], took));
         if let Some(hint) = hint {
-            self.pace_hint = Some(blend(self.pace_hint, took / hint.max(1.0)));
+            // The ratio of the means, not the mean of ratios: waits weigh most on the smallest hints.
+            let (mean, of) = self.hinted.unwrap_or((took, hint));
+            self.hinted = Some((blend(Some(mean), took), blend(Some(of), hint)));
         }
     }
 
     /// Expected time of a run; 0 while nothing is known.
     fn expected(&self, r: &Request) -> f64 {
-        match (r.hint, self.pace_hint) {
-            (Some(hint), Some(pace)) => hint * pace,
+        match (r.hint, self.hinted) {
+            (Some(hint), Some((took, of))) => hint * took / of.max(1.0),
             _ => self.pace[r.class].unwrap_or(0.0),
         }
     }
