--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,8 @@
 const CLIMB_EVERY: Micros = 1_000_000;
 /// Share of the survivable crowd, memory or calls that is made use of.
 const SAFE_SHARE: f64 = 0.85;
+/// Share of the expected run for which a request that can start at once must still have time.
+const START_AT: f64 = 0.5;
 /// Weight of the newest sample in running means.
 const NEWEST: f64 = 0.1;
 /// A server whose share of failed runs is above the first is sick until it is under the second.
@@ -518,8 +520,9 @@
             let r = &self.all[&seq];
             let run = self.expected(r);
             let until = if r.late { r.due } else { r.need };
-            let wait = if place < free { 0.0 } else { (ahead + run) / slots };
-            if now as f64 + wait + run > until as f64 && (place > 0 || running > 0) {
+            // What can start now has only its own rough expectation against it, no line: it gets a chance.
+            let takes = if place < free { run * START_AT } else { (ahead + run) / slots + run };
+            if now as f64 + takes > until as f64 && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else {
                 ahead += run;
