--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,8 +19,8 @@
 const READ_EVERY: Micros = 500_000;
 /// Time after which something that failed, or may fail, is tried again.
 const PROBE_EVERY: Micros = 100_000;
-/// Time between steps of the climbing limit: long enough to count completions a core.
-const CLIMB_EVERY: Micros = 1_000_000;
+/// Wanting a core, for each core, above which a flat limit steps back.
+const CROWDED: f64 = 1.25;
 /// Share of the survivable crowd, memory or calls that is made use of.
 const SAFE_SHARE: f64 = 0.85;
 /// Share of the expected run for which a request that can start at once must still have time.
@@ -72,7 +72,6 @@
     step: isize,
     done: u32,
     before: f64,
-    next: Micros,
 }
 
 /// What is known of the calls below.
@@ -101,6 +100,8 @@
     keys: BTreeMap<RequestId, Micros>,
     worths: Vec<f64>,
     limit: Limit,
+    /// Mean of what wants a core.
+    crowding: f64,
     calls: Calls,
     /// Mean time of a run by class, and over all classes with the mean hint beside it.
     pace: Vec<Option<f64>>,
@@ -126,8 +127,7 @@
         set.check()?;
         let mut worths: Vec<f64> = set.classes.iter().map(|c| c.worth).collect();
         worths.sort_by(f64::total_cmp);
-        let limit =
-            Limit { slots: set.cores as usize, step: -1, done: 0, before: 0.0, next: now + CLIMB_EVERY };
+        let limit = Limit { slots: set.cores as usize, step: -1, done: 0, before: 0.0 };
         Ok(Server {
             born: now,
             next: 0,
@@ -137,6 +137,7 @@
             keys: BTreeMap::new(),
             worths,
             limit,
+            crowding: 0.0,
             calls: Calls { seen: now, ..Calls::default() },
             pace: vec![None; set.classes.len()],
             hinted: None,
@@ -370,6 +371,9 @@
     // ---- the design: the limit, the search, the start ---------------------------------------------
 
     fn read(&mut self, now: Micros, gauges: Gauges, out: &mut Vec<Action>) {
+        if let Some(on_cores) = gauges.on_cores {
+            self.crowding = blend(Some(self.crowding), on_cores);
+        }
         if now < self.read_at {
             return;
         }
@@ -380,30 +384,31 @@
             let stray = self.all.values().filter(|r| r.over && r.stage == Stage::Running);
             out.extend(stray.map(|r| Action::Halt(r.id.clone())));
         }
-        let running = self.running();
-        let cores = self.set.cores as usize;
+        let (running, cores) = (self.running(), self.set.cores as usize);
         let most = ((self.crowd(now) * SAFE_SHARE) as usize).max(cores);
+        let crowded = self.crowding > f64::from(self.set.cores) * CROWDED;
         let limit = &mut self.limit;
         if gauges.cpu.unwrap_or(1.0) < BUSY {
             limit.slots = running + cores;
             limit.step = -1;
             limit.before = 0.0;
-            limit.done = 0;
-            limit.next = now + CLIMB_EVERY;
-        } else if now >= limit.next {
+        } else {
             let done = f64::from(limit.done);
             // Counts differ by chance: less than their spread is flat.
-            let noise = limit.before.sqrt();
-            if limit.before == 0.0 || done > limit.before + noise {
-                limit.slots = limit.slots.saturating_add_signed(limit.step);
-            } else if done < limit.before - noise {
+            let noise = (limit.before + done).sqrt();
+            if done < limit.before - noise {
                 limit.step = -limit.step;
+            }
+            if (done - limit.before).abs() > noise {
                 limit.slots = limit.slots.saturating_add_signed(limit.step);
+            } else if crowded {
+                // Flat, yet more wants a core than there are cores: what the gauge rule put on top in a
+                // lull only gets in the way, and counts are too few to show it. One step back.
+                limit.slots = limit.slots.saturating_sub(1);
             }
             limit.before = done;
-            limit.done = 0;
-            limit.next = now + CLIMB_EVERY;
         }
+        limit.done = 0;
         limit.slots = limit.slots.clamp(cores, most);
     }
 
