--- a/src/choice.rs
+++ b/src/choice.rs
@@ -603,7 +603,7 @@
             return;
         }
         r.call_spent |= !outcome.never_ran();
-        r.stage = Stage::AtCall(now + (PROBE_EVERY / 4 << r.call_tries.min(4)));
+        r.stage = Stage::AtCall(now + ((PROBE_EVERY / 4) << r.call_tries.min(4)));
         if outcome == Outcome::TimedOut {
             self.calls.lingering.push(now + self.set.call_linger);
         }
