--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,6 +74,34 @@
     before: f64,
 }
 
+/// Times of runs against hinted work: a straight line through moving means. Rough hints flatten it by
+/// themselves, and waits that don't grow with the work stay out of its slope.
+#[derive(Default)]
+struct Line {
+    hint: Option<f64>,
+    took: f64,
+    spread: f64,
+    joint: f64,
+}
+
+impl Line {
+    fn add(&mut self, hint: f64, took: f64) {
+        let mean = self.hint.unwrap_or(hint);
+        let mean_took = if self.hint.is_none() { took } else { self.took };
+        let (off, off_took) = (hint - mean, took - mean_took);
+        self.hint = Some(mean + NEWEST * off);
+        self.took = mean_took + NEWEST * off_took;
+        self.spread = (1.0 - NEWEST) * (self.spread + NEWEST * off * off);
+        self.joint = (1.0 - NEWEST) * (self.joint + NEWEST * off * off_took);
+    }
+
+    fn at(&self, hint: f64) -> Option<f64> {
+        let slope = if self.spread > 0.0 { (self.joint / self.spread).max(0.0) } else { 0.0 };
+        let least = self.took * START_AT;
+        self.hint.map(|mean| (self.took + slope * (hint - mean)).max(least))
+    }
+}
+
 /// What is known of the calls below.
 #[derive(Default)]
 struct Calls {
@@ -103,9 +131,9 @@
     /// Mean of what wants a core.
     crowding: f64,
     calls: Calls,
-    /// Mean time of a run by class, and over all classes with the mean hint beside it.
+    /// Mean time of a run by class, and how times follow hints over all classes.
     pace: Vec<Option<f64>>,
-    hinted: Option<(f64, f64)>,
+    line: Line,
     errors: f64,
     sick: bool,
     probe_at: Micros,
@@ -140,7 +168,7 @@
             crowding: 0.0,
             calls: Calls { seen: now, ..Calls::default() },
             pace: vec![None; set.classes.len()],
-            hinted: None,
+            line: Line::default(),
             errors: 0.0,
             sick: false,
             probe_at: 0,
@@ -304,18 +332,14 @@
     fn learn(&mut self, class: usize, hint: Option<f64>, took: f64) {
         self.pace[class] = Some(blend(self.pace[class], took));
         if let Some(hint) = hint {
-            // The ratio of the means, not the mean of ratios: waits weigh most on the smallest hints.
-            let (mean, of) = self.hinted.unwrap_or((took, hint));
-            self.hinted = Some((blend(Some(mean), took), blend(Some(of), hint)));
+            self.line.add(hint, took);
         }
     }
 
     /// Expected time of a run; 0 while nothing is known.
     fn expected(&self, r: &Request) -> f64 {
-        match (r.hint, self.hinted) {
-            (Some(hint), Some((took, of))) => hint * took / of.max(1.0),
-            _ => self.pace[r.class].unwrap_or(0.0),
-        }
+        let mean = self.pace[r.class].unwrap_or(0.0);
+        r.hint.and_then(|hint| self.line.at(hint)).unwrap_or(mean)
     }
 
     fn count(&self, which: impl Fn(&Request) -> bool) -> usize {
