--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,6 +134,8 @@
     /// Mean time of a run by class, and how times follow hints over all classes.
     pace: Vec<Option<f64>>,
     line: Line,
+    /// Mean time that arrivals waited to be read.
+    unread: f64,
     errors: f64,
     sick: bool,
     probe_at: Micros,
@@ -169,6 +171,7 @@
             calls: Calls { seen: now, ..Calls::default() },
             pace: vec![None; set.classes.len()],
             line: Line::default(),
+            unread: 0.0,
             errors: 0.0,
             sick: false,
             probe_at: 0,
@@ -235,6 +238,7 @@
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let need = due.min(reached + (class.aim + stretch as Micros).min(class.deadline));
         self.count_tenant(now, a.tenant);
+        self.unread = blend(Some(self.unread), a.queued as f64);
         let seq = self.next;
         self.next += 1;
         let place = (a.rank.clamp(0.0, 1.0) * self.worths.len() as f64) as usize;
@@ -488,7 +492,8 @@
 
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let stay_away = self.stay_away();
+        let (stay_away, unread) = (self.stay_away(), self.unread);
+        let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         let Some(r) = self.all.get_mut(&seq) else { return };
         let id = r.id.clone();
         match r.stage {
@@ -496,8 +501,8 @@
                 if self.keys.remove(&id).is_some() {
                     out.push(Action::Forget(id.clone()));
                 }
-                // Nowhere can it still be served in time.
-                let terminal = now >= r.need;
+                // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
+                let terminal = now as f64 + unread + expected > r.need as f64;
                 out.push(Action::Refuse { id, stay_away, terminal });
                 self.remove(seq);
             }
@@ -520,13 +525,13 @@
         }
     }
 
-    /// Advice: about as long as the hold takes to empty.
+    /// Advice: about as long as the hold, or what stands unread before it, takes to empty.
     fn stay_away(&self) -> Micros {
         if self.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
         let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
-        ((work / self.limit.slots as f64) as Micros).min(self.set.advice_max)
+        ((work / self.limit.slots as f64).max(self.unread) as Micros).min(self.set.advice_max)
     }
 
     /// Refuses early what, in the order of the search, can't be done in time: the answer comes while
