--- a/src/choice.rs
+++ b/src/choice.rs
@@ -502,7 +502,7 @@
                     out.push(Action::Forget(id.clone()));
                 }
                 // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
-                let terminal = now as f64 + unread + expected > r.need as f64;
+                let terminal = now as f64 + unread + expected * START_AT > r.need as f64;
                 out.push(Action::Refuse { id, stay_away, terminal });
                 self.remove(seq);
             }
