--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,6 +25,8 @@
 const SAFE_SHARE: f64 = 0.85;
 /// Share of the expected run for which a request that can start at once must still have time.
 const START_AT: f64 = 0.5;
+/// Share of its spare time that a new arrival may be expected to wait here rather than elsewhere.
+const PATIENCE: f64 = 0.25;
 /// Weight of the newest sample in running means.
 const NEWEST: f64 = 0.1;
 /// A server whose share of failed runs is above the first is sick until it is under the second.
@@ -60,6 +62,8 @@
     /// After this an answer is worth little or nothing.
     need: Micros,
     late: bool,
+    /// Not yet looked at since it arrived.
+    fresh: bool,
     started: Micros,
     call_tries: u32,
     /// A call of it may have taken effect.
@@ -254,6 +258,7 @@
             due,
             need,
             late: false,
+            fresh: true,
             started: 0,
             call_tries: 0,
             call_spent: false,
@@ -555,13 +560,21 @@
             let run = self.expected(r);
             let until = if r.late { r.due } else { r.need };
             // What can start now has only its own rough expectation against it, no line: it gets a chance.
-            let takes = if place < free { run * START_AT } else { (ahead + run) / slots + run };
-            if now as f64 + takes > until as f64 && (place > 0 || running > 0) {
+            let wait = if place < free { 0.0 } else { (ahead + run) / slots };
+            let takes = if place < free { run * START_AT } else { wait + run };
+            let left = until as f64 - now as f64;
+            let long = r.fresh && wait > (left - run) * PATIENCE;
+            if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else {
                 ahead += run;
             }
         }
+        self.hold.iter().for_each(|seq| {
+            if let Some(r) = self.all.get_mut(seq) {
+                r.fresh = false;
+            }
+        });
     }
 
     /// Memory: refuses the newest of the lowest level until what is held fits.
