--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,9 +34,6 @@
 /// Tries of one call, and failures in a row after which calls are only probed.
 const CALL_TRIES: u32 = 3;
 
-/// Pairs of caller and class whose longest wait is kept.
-const LONGEST_KEPT: usize = 4096;
-
 /// Where a request stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Stage {
@@ -148,8 +145,6 @@
     probe_at: Micros,
     /// Arrivals a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
-    /// The longest wait seen of each caller for each class.
-    longest: BTreeMap<(u64, usize), Micros>,
     /// Notice to leave, and when the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
@@ -185,7 +180,6 @@
             sick: false,
             probe_at: 0,
             rates: vec![(0.0, now); set.tenants.len()],
-            longest: BTreeMap::new(),
             leave: None,
             read_at: now,
             awake: false,
@@ -245,10 +239,8 @@
         if let Some((_, stop)) = self.leave {
             due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
         }
-        let age = self.age(&a, reached, now);
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
-        let aim = (class.aim + stretch as Micros).min(class.deadline);
-        let need = due.min((reached + aim).saturating_sub(age));
+        let need = due.min(reached + (class.aim + stretch as Micros).min(class.deadline));
         self.count_tenant(now, a.tenant);
         self.unread = blend(Some(self.unread), a.queued as f64);
         let seq = self.next;
@@ -288,18 +280,6 @@
         }
     }
 
-    /// How old a try is at least: its caller waits for a class as long as it ever did, less what has
-    /// passed. What walks from refusal to refusal grows old without a mark.
-    fn age(&mut self, a: &Arrival, reached: Micros, now: Micros) -> Micros {
-        let Some(waits) = a.waits.map(|w| now + w - reached) else { return 0 };
-        if self.longest.len() > LONGEST_KEPT {
-            self.longest.clear();
-        }
-        let longest = self.longest.entry((a.caller, a.class)).or_insert(waits);
-        *longest = waits.max(*longest);
-        *longest - waits
-    }
-
     /// Keeps a tenant's rate, forgetting over some seconds.
     fn count_tenant(&mut self, now: Micros, tenant: usize) {
         const FORGET: f64 = 5e6;
