--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 
 use crate::interface::{
-    Action, Arrival, BadSettings, Below, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings,
+    Action, Arrival, BadSettings, Below, Class, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId,
+    Settings,
 };
 
 /// Places of the hold that one search looks at.
@@ -34,6 +35,11 @@
 /// Tries of one call, and failures in a row after which calls are only probed.
 const CALL_TRIES: u32 = 3;
 
+/// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
+const HABITS_KEPT: usize = 4096;
+const HABIT_VOTES: u32 = 32;
+const SAME_WAIT: f64 = 0.01;
+
 /// Where a request stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Stage {
@@ -145,6 +151,8 @@
     probe_at: Micros,
     /// Arrivals a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
+    /// The usual wait of each caller's tries, as a share of the deadline, and the votes for it.
+    habits: BTreeMap<u64, (f64, u32)>,
     /// Notice to leave, and when the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
@@ -180,6 +188,7 @@
             sick: false,
             probe_at: 0,
             rates: vec![(0.0, now); set.tenants.len()],
+            habits: BTreeMap::new(),
             leave: None,
             read_at: now,
             awake: false,
@@ -239,8 +248,10 @@
         if let Some((_, stop)) = self.leave {
             due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
         }
+        let age = self.age(&a, &class, reached, now);
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
-        let need = due.min(reached + (class.aim + stretch as Micros).min(class.deadline));
+        let aim = (class.aim + stretch as Micros).min(class.deadline);
+        let need = due.min((reached + aim).saturating_sub(age));
         self.count_tenant(now, a.tenant);
         self.unread = blend(Some(self.unread), a.queued as f64);
         let seq = self.next;
@@ -280,6 +291,32 @@
         }
     }
 
+    /// How old a try is at least. A caller's first tries all wait for one share of the deadline: the
+    /// share that most tries state. A longer wait is what is left to a client that tries again; a
+    /// shorter one has already walked from server to server.
+    fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
+        let Some(waits) = a.waits.map(|w| (now + w - reached) as f64) else { return 0 };
+        let share = waits / class.deadline as f64;
+        if self.habits.len() > HABITS_KEPT {
+            self.habits.clear();
+        }
+        let (usual, votes) = self.habits.entry(a.caller).or_insert((share, 0));
+        let same = (share - *usual).abs() < SAME_WAIT;
+        if !a.retry {
+            match (same, *votes) {
+                (true, _) => *votes = (*votes + 1).min(HABIT_VOTES),
+                (false, 0) => *usual = share,
+                (false, _) => *votes -= 1,
+            }
+        }
+        let sure = *votes >= HABIT_VOTES / 8 && !same;
+        match sure {
+            false => 0,
+            true if share > *usual => class.deadline.saturating_sub(waits as Micros),
+            true => ((*usual - share) * class.deadline as f64) as Micros,
+        }
+    }
+
     /// Keeps a tenant's rate, forgetting over some seconds.
     fn count_tenant(&mut self, now: Micros, tenant: usize) {
         const FORGET: f64 = 5e6;
