--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,8 @@
 /// Tries of one call, and failures in a row after which calls are only probed.
 const CALL_TRIES: u32 = 3;
 
+/// Time over which a tenant's rate is forgotten, in microseconds.
+const RATE_OVER: f64 = 5e6;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
@@ -149,7 +151,7 @@
     errors: f64,
     sick: bool,
     probe_at: Micros,
-    /// Arrivals a second by tenant, and when last brought up to date.
+    /// Starts a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
     /// The usual wait of each caller's tries, as a share of the deadline, and the votes for it.
     habits: BTreeMap<u64, (f64, u32)>,
@@ -252,7 +254,6 @@
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
-        self.count_tenant(now, a.tenant);
         self.unread = blend(Some(self.unread), a.queued as f64);
         let seq = self.next;
         self.next += 1;
@@ -317,30 +318,34 @@
         }
     }
 
-    /// Keeps a tenant's rate, forgetting over some seconds.
+    /// Keeps the rate at which a tenant's requests are started, forgetting over some seconds.
     fn count_tenant(&mut self, now: Micros, tenant: usize) {
-        const FORGET: f64 = 5e6;
         if let Some((rate, seen)) = self.rates.get_mut(tenant) {
-            *rate = *rate * (-((now - *seen) as f64) / FORGET).exp() + 1e6 / FORGET;
+            *rate = *rate * (-((now - *seen) as f64) / RATE_OVER).exp() + 1e6 / RATE_OVER;
             *seen = now;
         }
     }
 
-    /// What a request is worth in view of its tenant's quota: traffic beyond it bears no mark, so each
-    /// request of a tenant that sends too much counts as within the share by that chance.
-    fn value(&self, r: &Request) -> f64 {
+    /// What a request is worth in view of its tenant's quota: what is served beyond this server's part
+    /// of it counts as over the share.
+    fn value(&self, now: Micros, r: &Request) -> f64 {
         let worth = if r.late { r.worth * self.set.classes[r.class].late_worth } else { r.worth };
-        let (Some(t), Some((rate, _))) = (self.set.tenants.get(r.tenant), self.rates.get(r.tenant)) else {
+        let (Some(t), Some((rate, seen))) = (self.set.tenants.get(r.tenant), self.rates.get(r.tenant)) else {
             return worth;
         };
-        let within = (t.quota_per_s / f64::from(self.set.servers) / rate.max(1e-9)).min(1.0);
-        worth * (within + (1.0 - within) * self.set.over_share_worth)
+        let rate = rate * (-((now - seen) as f64) / RATE_OVER).exp();
+        let over = rate > t.quota_per_s / f64::from(self.set.servers);
+        if over {
+            worth * self.set.over_share_worth
+        } else {
+            worth
+        }
     }
 
     /// The level of a request: how many class worths its own value reaches. Over quota or late it
     /// is downgraded to a lower level.
-    fn level(&self, r: &Request) -> usize {
-        let value = self.value(r) * 1.000_001;
+    fn level(&self, now: Micros, r: &Request) -> usize {
+        let value = self.value(now, r) * 1.000_001;
         self.worths.iter().filter(|&&w| w <= value).count()
     }
 
@@ -483,11 +488,11 @@
     }
 
     /// The oldest request of the highest level among the first places of the hold.
-    fn pick(&self, may_start: impl Fn(&Request) -> bool) -> Option<u64> {
+    fn pick(&self, now: Micros, may_start: impl Fn(&Request) -> bool) -> Option<u64> {
         let window = self.hold.iter().take(LOOK_AHEAD);
         let able = window.filter(|seq| may_start(&self.all[seq]));
         // Of equal levels `max_by_key` takes the last: searched from the far end, that is the oldest.
-        able.rev().max_by_key(|seq| self.level(&self.all[seq])).copied()
+        able.rev().max_by_key(|seq| self.level(now, &self.all[seq])).copied()
     }
 
     fn start(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -501,12 +506,14 @@
             }
             let room = self.set.memory_kb * SAFE_SHARE - self.memory();
             let grows = self.set.run_factor - 1.0;
-            let Some(seq) = self.pick(|r| r.held_kb * grows <= room) else { return };
+            let Some(seq) = self.pick(now, |r| r.held_kb * grows <= room) else { return };
             self.hold.retain(|&s| s != seq);
             if let Some(r) = self.all.get_mut(&seq) {
                 r.stage = Stage::Running;
                 r.started = now;
+                let tenant = r.tenant;
                 out.push(Action::Admit(r.id.clone()));
+                self.count_tenant(now, tenant);
             }
         }
     }
@@ -589,7 +596,7 @@
         let free = self.limit.slots.saturating_sub(running);
         let slots = self.limit.slots as f64;
         let mut order: Vec<(usize, u64)> =
-            self.hold.iter().map(|&s| (usize::MAX - self.level(&self.all[&s]), s)).collect();
+            self.hold.iter().map(|&s| (usize::MAX - self.level(now, &self.all[&s]), s)).collect();
         order.sort_unstable();
         let mut ahead = 0.0;
         for (place, (_, seq)) in order.into_iter().enumerate() {
@@ -617,7 +624,7 @@
     /// Memory: refuses the newest of the lowest level until what is held fits.
     fn make_room(&mut self, now: Micros, out: &mut Vec<Action>) {
         while self.memory() > self.set.memory_kb * (1.0 + SAFE_SHARE) / 2.0 {
-            let low = self.hold.iter().rev().min_by_key(|s| self.level(&self.all[s])).copied();
+            let low = self.hold.iter().rev().min_by_key(|s| self.level(now, &self.all[s])).copied();
             let Some(seq) = low else { return };
             self.give_up(now, seq, out);
         }
