--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,7 @@
 
 /// Time over which a tenant's rate is forgotten, in microseconds.
 const RATE_OVER: f64 = 5e6;
+const QUOTA_SLACK: f64 = 1.25;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
@@ -334,7 +335,7 @@
             return worth;
         };
         let rate = rate * (-((now - seen) as f64) / RATE_OVER).exp();
-        let over = rate > t.quota_per_s / f64::from(self.set.servers);
+        let over = rate > QUOTA_SLACK * t.quota_per_s / f64::from(self.set.servers);
         if over {
             worth * self.set.over_share_worth
         } else {
@@ -541,7 +542,7 @@
 
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let (stay_away, unread) = (self.stay_away(), self.unread);
+        let (stay_away, unread) = (self.stay_away(now), self.unread);
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         let Some(r) = self.all.get_mut(&seq) else { return };
         let id = r.id.clone();
@@ -574,12 +575,15 @@
         }
     }
 
-    /// Advice: about as long as the hold, or what stands unread before it, takes to empty.
-    fn stay_away(&self) -> Micros {
+    /// Advice keeps away all that a caller has, so it is no longer than even a request of the highest
+    /// level would wait here: for its like in the hold, or to be read.
+    fn stay_away(&self, now: Micros) -> Micros {
         if self.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
-        let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
+        let top = self.worths.len();
+        let held = self.hold.iter().map(|s| &self.all[s]).filter(|r| self.level(now, r) == top);
+        let work: f64 = held.map(|r| self.expected(r)).sum();
         ((work / self.limit.slots as f64).max(self.unread) as Micros).min(self.set.advice_max)
     }
 
