--- a/src/choice.rs
+++ b/src/choice.rs
@@ -327,20 +327,20 @@
         }
     }
 
-    /// What a request is worth in view of its tenant's quota: what is served beyond this server's part
-    /// of it counts as over the share.
-    fn value(&self, now: Micros, r: &Request) -> f64 {
-        let worth = if r.late { r.worth * self.set.classes[r.class].late_worth } else { r.worth };
+    /// Whether its tenant has already had this server's part of its quota. Parts are uneven: some slack.
+    fn over_quota(&self, now: Micros, r: &Request) -> bool {
         let (Some(t), Some((rate, seen))) = (self.set.tenants.get(r.tenant), self.rates.get(r.tenant)) else {
-            return worth;
+            return false;
         };
         let rate = rate * (-((now - seen) as f64) / RATE_OVER).exp();
-        let over = rate > QUOTA_SLACK * t.quota_per_s / f64::from(self.set.servers);
-        if over {
-            worth * self.set.over_share_worth
-        } else {
-            worth
-        }
+        rate > QUOTA_SLACK * t.quota_per_s / f64::from(self.set.servers)
+    }
+
+    /// What a request is worth now.
+    fn value(&self, now: Micros, r: &Request) -> f64 {
+        let late = if r.late { self.set.classes[r.class].late_worth } else { 1.0 };
+        let over = if self.over_quota(now, r) { self.set.over_share_worth } else { 1.0 };
+        r.worth * late * over
     }
 
     /// The level of a request: how many class worths its own value reaches. Over quota or late it
@@ -542,8 +542,9 @@
 
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let (stay_away, unread) = (self.stay_away(now), self.unread);
+        let (stay_away, unread) = (self.stay_away(), self.unread);
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
+        let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
         let Some(r) = self.all.get_mut(&seq) else { return };
         let id = r.id.clone();
         match r.stage {
@@ -553,6 +554,9 @@
                 }
                 // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
                 let terminal = now as f64 + unread + expected * START_AT > r.need as f64;
+                // Advice would keep the caller's other tenants away as well, and beyond the quota no other
+                // server is to take it either.
+                let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
                 out.push(Action::Refuse { id, stay_away, terminal });
                 self.remove(seq);
             }
@@ -575,15 +579,12 @@
         }
     }
 
-    /// Advice keeps away all that a caller has, so it is no longer than even a request of the highest
-    /// level would wait here: for its like in the hold, or to be read.
-    fn stay_away(&self, now: Micros) -> Micros {
+    /// Advice: about as long as the hold, or what stands unread before it, takes to empty.
+    fn stay_away(&self) -> Micros {
         if self.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
-        let top = self.worths.len();
-        let held = self.hold.iter().map(|s| &self.all[s]).filter(|r| self.level(now, r) == top);
-        let work: f64 = held.map(|r| self.expected(r)).sum();
+        let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
         ((work / self.limit.slots as f64).max(self.unread) as Micros).min(self.set.advice_max)
     }
 
