--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -1,1 +1,190 @@
+//! The codec on each message, and the adapter as a program.
 
+use super::*;
+use umberloom::interface::*;
+
+const OPTIONS: &str = r#"{"classes":[{"aim_us":1300000,"credit":1.0,"effect":"read_like","hard_limit_us":3300000,
+"late_worth":0.0,"name":"a","repeat_window_us":5000000},{"aim_us":2200000,"credit":3.0,"effect":"idempotency_key",
+"hard_limit_us":5400000,"late_worth":0.2,"name":"b","repeat_window_us":4000000}],"family":"server","unheard_of":[1],
+"family_info":{"callers":3,"calls_over_us":5000000,"class_calls":[true,false],"class_skip_worth":[0.3,0.0],
+"dep_share":6.0,"downstream":"common","fresh_start":true,"fresh_us":0,"key_kb":170.02,"linger_us":200000,
+"mem_limit_kb":110652.0,"meters":["links","core_use","heap_share","novel","on_cores"],"n_cores":6,
+"preemption":"pause","run_factor":16.0,"say":"min_rank"},
+"guarantees":{"cold_from":0.2,"cold_us":17000000,"drain_grace_us":2500000,"fall_multiple":8.0,"fall_us":1500000,
+"grace_to_answer_us":60000},"limits":{"max_retry_after_us":1000000,"retry_after":true},"over_share_worth":0.1,
+"realms":[{"name":"t","quota_rps":36.5,"share":0.37}],"servers":10,"tick_us":4000,"tier":1}"#;
+
+fn start(who: u64) -> String {
+    let options = OPTIONS.replace('\n', "");
+    format!(r#"{{"op":"power_on","who":{who},"init_seed":5,"options":{options}}}"#)
+}
+
+fn read(news: &str) -> Result<Vec<(u64, decode::News)>, String> {
+    let mut layouts = decode::Layouts::default();
+    let line = format!(r#"{{"sim_time_us":9,"news":[{},{news}]}}"#, start(3));
+    decode::batch(&line, &mut layouts).map(|b| b.news.into_iter().skip(1).collect())
+}
+
+fn event(news: &str) -> Event {
+    match read(news).expect("a sound line").pop() {
+        Some((3, decode::News::Event(event))) => event,
+        _ => panic!("one event of instance 3"),
+    }
+}
+
+fn talk(lines: &[String]) -> (Result<(), String>, String) {
+    let mut out = Vec::new();
+    let end = serve(lines.join("\n").as_bytes(), &mut out);
+    (end, String::from_utf8(out).expect("text"))
+}
+
+#[test]
+fn settings_are_read() {
+    let mut layouts = decode::Layouts::default();
+    let line = format!(r#"{{"sim_time_us":9,"news":[{}]}}"#, start(3));
+    let batch = decode::batch(&line, &mut layouts).expect("a sound line");
+    let Some((3, decode::News::Start(set))) = batch.news.first() else { panic!("a start of instance 3") };
+    assert_eq!((batch.now, set.seed, set.cores, set.tier, set.servers, set.callers), (9, 5, 6, 1, 10, 3));
+    assert_eq!((set.halt, set.below, set.signal), (Halt::Pause, Below::Common, Signal::MinRank));
+    assert_eq!((set.classes[0].effect, set.classes[1].effect), (Effect::Safe, Effect::Keyed));
+    assert_eq!((set.classes[0].calls, set.classes[0].skip_worth, set.classes[1].calls), (true, 0.3, false));
+    assert_eq!((set.classes[1].late_worth, set.classes[1].window), (0.2, 4_000_000));
+    assert_eq!((set.tenants[0].quota_per_s, set.over_share_worth, set.cold), (36.5, 0.1, true));
+    assert_eq!((set.crowd, set.answer_slack, set.advice_max), (8.0, 60_000, 1_000_000));
+}
+
+#[test]
+fn an_arrival_is_read_whole_and_bare() {
+    let full = r#"{"op":"ingress","who":3,"txn":"rq_b","author":17,"grace_us":240000,"footprint":24.5,
+        "queued_for_us":1850,"billing":2,"subject":45,"forerunner":"rq_a","precedence":0.625,"tier_class":1,
+        "cost_us":12000,"retry":true}"#;
+    let Event::Arrived(a) = event(&full.replace('\n', "")) else { panic!("an arrival") };
+    assert_eq!((&*a.id, a.caller, a.waits, a.held_kb, a.queued), ("rq_b", 17, Some(240_000), 24.5, 1850));
+    assert_eq!((a.tenant, a.rank, a.class, a.cost, a.retry), (2, 0.625, 1, Some(12_000), true));
+    assert_eq!(a.repeats.as_deref(), Some("rq_a"));
+    let bare = r#"{"op":"ingress","who":3,"txn":"x","tier_class":0,"forerunner":0,"grace_us":0}"#;
+    let Event::Arrived(a) = event(bare) else { panic!("an arrival") };
+    assert_eq!((a.waits, a.repeats, a.cost, a.retry, a.tenant), (None, None, None, false, 0));
+}
+
+#[test]
+fn every_other_event_is_read() {
+    let is = |text: &str, wanted: &str| assert_eq!(format!("{:?}", event(text)), wanted);
+    is(
+        r#"{"op":"completed","who":3,"txn":"a","disposition":125,"wait_time_us":5}"#,
+        r#"Ended("a", Stopped, 5)"#,
+    );
+    is(r#"{"op":"completed","who":3,"txn":"a","disposition":114}"#, r#"Ended("a", Moot, 0)"#);
+    is(r#"{"op":"stalled_on_call","who":3,"txn":"a"}"#, r#"NeedsCall("a")"#);
+    for (code, name) in
+        [(0, "Ok"), (5, "Error"), (11, "Refused"), (110, "TimedOut"), (111, "Unreachable"), (104, "Cut")]
+    {
+        let line =
+            format!(r#"{{"op":"call_result","who":3,"txn":"a","disposition":{code},"wait_time_us":7}}"#);
+        is(&line, &format!(r#"Called("a", {name}, 7)"#));
+    }
+    is(r#"{"op":"left","who":3,"txn":"a"}"#, r#"Gone("a")"#);
+    is(r#"{"op":"notice","who":3,"grace_us":44}"#, "Leave(44)");
+}
+
+#[test]
+fn gauges_come_in_the_order_of_their_names_and_unknown_ones_are_disregarded() {
+    let Event::Timer(g) = event(r#"{"op":"bell","who":3,"nonce":"n","feedback":[120,0.62,0.41,9,3]}"#) else {
+        panic!("a timer")
+    };
+    assert_eq!(
+        (g.connections, g.cpu, g.memory, g.on_cores),
+        (Some(120.0), Some(0.62), Some(0.41), Some(3.0))
+    );
+}
+
+#[test]
+fn every_action_is_written() {
+    let id: RequestId = "a".into();
+    let cases = [
+        (Action::Admit(id.clone()), r#"{"op":"admit","who":3,"txn":"a"}"#),
+        (Action::Halt(id.clone()), r#"{"op":"interrupt","who":3,"txn":"a"}"#),
+        (
+            Action::Refuse { id: id.clone(), stay_away: 9, terminal: true },
+            r#"{"op":"deny","who":3,"txn":"a","backoff_us":9,"terminal":true}"#,
+        ),
+        (Action::Fail(id.clone()), r#"{"op":"lose","who":3,"txn":"a"}"#),
+        (Action::Call(id.clone(), 8), r#"{"op":"call_dep","who":3,"txn":"a","expire_at_us":8}"#),
+        (Action::SkipCall(id.clone()), r#"{"op":"bypass","who":3,"txn":"a"}"#),
+        (Action::Keep(id.clone(), 7), r#"{"op":"remember","who":3,"txn":"a","span_us":7}"#),
+        (Action::Forget(id.clone()), r#"{"op":"release_key","who":3,"txn":"a"}"#),
+        (Action::Join(id), r#"{"op":"attach","who":3,"txn":"a"}"#),
+        (Action::Ready(false), r#"{"op":"readiness","who":3,"enable":false,"from_state":true}"#),
+        (Action::Signal(0.25), r#"{"op":"say","who":3,"x":0.25}"#),
+        (Action::Wake(500), r#"{"op":"arm","who":3,"wait_us":500,"nonce":"wake"}"#),
+        (Action::Log("hi".into()), r#"{"op":"debug","who":3,"text":"hi"}"#),
+    ];
+    for (action, wanted) in cases {
+        let mut reply = encode::Reply::default();
+        reply.push(3, &action);
+        assert_eq!(String::from_utf8(reply.finish()).expect("text"), format!("{{\"do\":[{wanted}]}}\n"));
+    }
+}
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    let (end, out) = talk(&[r#"{"sim_time_us":8412250,"news":[]}"#.into()]);
+    assert_eq!((end, out.as_str()), (Ok(()), "{\"do\":[]}\n"));
+}
+
+#[test]
+fn a_request_is_admitted_over_the_wire() {
+    let first = format!(r#"{{"sim_time_us":9,"news":[{}]}}"#, start(3));
+    let request = r#"{"op":"ingress","who":3,"txn":"x","tier_class":0,"footprint":9,"grace_us":900000}"#;
+    let (end, out) = talk(&[first, format!(r#"{{"sim_time_us":10,"news":[{request}]}}"#)]);
+    assert_eq!(end, Ok(()));
+    assert!(
+        out.lines().nth(1).expect("two replies").contains(r#"{"op":"admit","who":3,"txn":"x"}"#),
+        "{out}"
+    );
+}
+
+#[test]
+fn bad_lines_are_named() {
+    let bad = [
+        ("nonsense", "not JSON"),
+        ("[]", "expected an object"),
+        (r#"{"news":[]}"#, "field `sim_time_us`: expected a whole number"),
+        (r#"{"sim_time_us":1}"#, "field `news`: expected an array"),
+        (r#"{"sim_time_us":1,"news":[{"op":"left","txn":"a"}]}"#, "field `who`"),
+        (r#"{"sim_time_us":1,"news":[{"op":"left","who":3}]}"#, "field `txn`: expected a text"),
+        (
+            r#"{"sim_time_us":1,"news":[{"op":"ingress","who":3,"txn":"a","tier_class":"b"}]}"#,
+            "field `tier_class`",
+        ),
+        (r#"{"sim_time_us":1,"news":[{"op":"hail","who":3}]}"#, "field `op`"),
+        (r#"{"sim_time_us":1,"news":[{"op":"left","who":3,"txn":"a"}]}"#, "instance 3 was never started"),
+    ];
+    for (line, wanted) in bad {
+        let (end, out) = talk(&[r#"{"sim_time_us":1,"news":[]}"#.into(), line.into()]);
+        let why = end.expect_err(line);
+        assert!(why.starts_with("line 2: ") && why.contains(wanted), "{line}: {why}");
+        assert_eq!(out, "{\"do\":[]}\n", "only replies are written");
+    }
+}
+
+#[test]
+fn settings_that_make_no_sense_crash_with_a_plain_text() {
+    let line =
+        format!(r#"{{"sim_time_us":9,"news":[{}]}}"#, start(3).replace("\"n_cores\":6", "\"n_cores\":0"));
+    let (end, out) = talk(&[line]);
+    assert_eq!(end, Ok(()));
+    assert!(out.contains(r#"{"op":"crash","who":3,"text":"settings make no sense: a server needs"#), "{out}");
+}
+
+#[test]
+fn a_restart_under_the_same_number_knows_nothing_of_the_life_before() {
+    let first = format!(r#"{{"sim_time_us":9,"news":[{}]}}"#, start(3));
+    let request = r#"{"op":"ingress","who":3,"txn":"x","tier_class":0,"footprint":9,"grace_us":900000}"#;
+    let again = format!(r#"{{"sim_time_us":20,"news":[{{"op":"crash_now","who":3}},{}]}}"#, start(3));
+    let late = r#"{"sim_time_us":999999,"news":[{"op":"bell","who":3,"nonce":"wake","feedback":[]}]}"#;
+    let (end, out) =
+        talk(&[first, format!(r#"{{"sim_time_us":10,"news":[{request}]}}"#), again, late.into()]);
+    assert_eq!(end, Ok(()));
+    assert!(!out.lines().last().expect("replies").contains("\"x\""), "{out}");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -497,12 +497,12 @@
     }
 
     fn start(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let crowd = self.crowd(now) * SAFE_SHARE;
+        let crowd = (self.crowd(now) * SAFE_SHARE).max(1.0);
         loop {
             let (running, at_calls) = (self.running(), self.at_calls());
             // Calls may all come back at once, so those at calls count towards the survivable crowd.
             let full = running >= self.limit.slots || (running + at_calls) as f64 + 1.0 > crowd;
-            if self.hold.is_empty() || (full && running > 0) || (self.sick && !self.may_probe(now)) {
+            if self.hold.is_empty() || full || (self.sick && !self.may_probe(now)) {
                 return;
             }
             let room = self.set.memory_kb * SAFE_SHARE - self.memory();
@@ -626,11 +626,13 @@
         });
     }
 
-    /// Memory: refuses the newest of the lowest level until what is held fits.
+    /// Memory: refuses the newest of the lowest level until what is held fits, then the newest of those
+    /// that wait for another's answer. Work that runs had its room before it was started.
     fn make_room(&mut self, now: Micros, out: &mut Vec<Action>) {
         while self.memory() > self.set.memory_kb * (1.0 + SAFE_SHARE) / 2.0 {
             let low = self.hold.iter().rev().min_by_key(|s| self.level(now, &self.all[s])).copied();
-            let Some(seq) = low else { return };
+            let joined = || self.all.iter().rev().find(|(_, r)| r.stage == Stage::Joined).map(|(&s, _)| s);
+            let Some(seq) = low.or_else(joined) else { return };
             self.give_up(now, seq, out);
         }
     }
--- /dev/null
+++ b/tests/generated.rs
@@ -0,0 +1,135 @@
+//! Generated event sequences: whatever comes in whatever order, the four rules hold. The host checks
+//! them after each step.
+
+mod common;
+use common::*;
+use umberloom::interface::*;
+
+/// Settings drawn from a seed: all halt modes, dependencies, effects, signals and core counts.
+fn drawn(random: &mut Random) -> Settings {
+    let mut set = settings();
+    set.cores = 1 + random.below(8) as u32;
+    set.halt = [Halt::Never, Halt::Drop, Halt::Pause][random.below(3) as usize];
+    set.below = [Below::Nothing, Below::Common, Below::NextTier][random.below(3) as usize];
+    set.signal = [Signal::Silent, Signal::MinRank, Signal::Tokens, Signal::Weight][random.below(4) as usize];
+    set.call_share = [0.4, 1.5, 6.0][random.below(3) as usize];
+    set.memory_kb = 320.0 * f64::from(set.cores) * (4 + random.below(16)) as f64;
+    set.crowd = (2 + random.below(7)) as f64;
+    set.cold = random.chance(40);
+    set.shared_reads = if random.chance(30) { SEC } else { 0 };
+    if random.chance(30) {
+        set.tenants = vec![Tenant { quota_per_s: 8.0 }, Tenant { quota_per_s: 40.0 }];
+    }
+    for class in &mut set.classes {
+        class.effect = [Effect::Safe, Effect::Keyed, Effect::Unsafe][random.below(3) as usize];
+        class.calls = set.below != Below::Nothing && random.chance(70);
+        class.skip_worth = if random.chance(50) { 0.4 } else { 0.0 };
+        class.late_worth = if random.chance(30) { 0.2 } else { 0.0 };
+    }
+    set
+}
+
+fn fresh(host: &Host, random: &mut Random, n: usize) -> Event {
+    let waits = if random.chance(80) { Some(1 + random.below(4 * SEC)) } else { None };
+    let class = random.below(2) as usize;
+    let keyed = host.set.classes[class].effect == Effect::Keyed;
+    Event::Arrived(Arrival {
+        waits,
+        queued: random.below(300 * MS).min(host.now),
+        tenant: random.below(2) as usize,
+        caller: random.below(3),
+        held_kb: 5.0 + random.below(40) as f64,
+        cost: if random.chance(50) { Some(random.below(SEC)) } else { None },
+        repeats: if keyed && random.chance(30) { host.kept() } else { None },
+        retry: random.chance(10),
+        ..arrival(&format!("g{n}"), class, 1)
+    })
+}
+
+/// Something that may happen to what is here; hung work does nothing at all.
+fn happening(host: &Host, random: &mut Random, used: &mut Vec<RequestId>) -> Option<Event> {
+    let choose = |list: Vec<RequestId>, random: &mut Random| {
+        let index = random.below(list.len().max(1) as u64) as usize;
+        list.get(index).cloned()
+    };
+    let (from, kind) = match random.below(4) {
+        0 | 1 => (host.running(), 0),
+        2 => (host.calling(), 1),
+        _ => (host.joined(), 2),
+    };
+    let id = choose(from, random)?;
+    if used.contains(&id) {
+        return None;
+    }
+    used.push(id.clone());
+    Some(match kind {
+        0 if host.may_call(&id) && random.chance(40) => Event::NeedsCall(id),
+        0 if random.chance(5) => Event::Ended(id, Outcome::Error, 50 * MS),
+        0 => Event::Ended(id, Outcome::Ok, 50 * MS),
+        1 => {
+            let ways =
+                [Outcome::Ok, Outcome::Ok, Outcome::Error, Outcome::Refused, Outcome::TimedOut, Outcome::Cut];
+            Event::Called(id, ways[random.below(6) as usize], 20 * MS)
+        }
+        _ => Event::Ended(id, Outcome::Ok, 5 * MS),
+    })
+}
+
+fn play(seed: u64) -> Host {
+    let mut random = Random(seed * 0x9e37_79b9 + 1);
+    let set = drawn(&mut random);
+    let mut host = Host::new(set);
+    let (load, speed) = (random.below(5), 1 + random.below(4));
+    let hung = random.chance(20);
+    for n in 0..1_500 {
+        host.now += 5 * MS;
+        let mut events = Vec::new();
+        if host.wake.is_some_and(|at| at <= host.now) {
+            let cpu = Some([0.3, 0.9, 1.0][random.below(3) as usize]);
+            events.push(Event::Timer(Gauges { cpu, on_cores: Some(3.0), ..Gauges::default() }));
+        }
+        if n == 1_000 {
+            events.push(Event::Leave(2_400 * MS));
+        }
+        for extra in 0..random.below(1 + load) as usize {
+            if host.notice.is_none_or(|(_, stop)| host.now < stop) {
+                events.push(fresh(&host, &mut random, n * 100 + extra));
+            }
+        }
+        let mut used = Vec::new();
+        for _ in 0..if hung && (300..600).contains(&n) { 0 } else { random.below(1 + speed) } {
+            events.extend(happening(&host, &mut random, &mut used));
+        }
+        if let Some(id) = host.held().first().filter(|_| random.chance(2)) {
+            events.push(Event::Gone(id.clone()));
+        }
+        host.step(events);
+    }
+    host
+}
+
+#[test]
+fn the_rules_hold_whatever_happens() {
+    let (mut served, mut turned_away) = (0, 0);
+    for seed in 1..=80 {
+        let host = play(seed);
+        assert_eq!(host.open(), 0, "seed {seed}: all is answered at the stop");
+        let crowd = f64::from(host.set.cores) * host.set.crowd;
+        assert!(host.most_running as f64 <= crowd, "seed {seed}: {} run", host.most_running);
+        if host.set.below == Below::Common {
+            let calls = host.set.call_share.max(1.0);
+            assert!(host.most_calling as f64 <= calls, "seed {seed}: {} calls", host.most_calling);
+        }
+        served += host.served;
+        turned_away += host.refused + host.failed;
+    }
+    assert!(served > 5_000 && turned_away > 5_000, "both happen: {served}, {turned_away}");
+}
+
+#[test]
+fn the_same_events_lead_to_the_same_actions() {
+    let (one, two) = (play(11), play(11));
+    assert_eq!((one.served, one.refused, one.failed), (two.served, two.refused, two.failed));
+    let other = play(12);
+    assert_ne!((one.served, one.refused), (other.served, other.refused));
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,259 @@
+//! The four rules, one guard at a time.
+
+mod common;
+use common::*;
+use umberloom::interface::*;
+use umberloom::Server;
+
+fn one_class(change: impl Fn(&mut Class)) -> Settings {
+    let mut set = settings();
+    set.classes.iter_mut().for_each(change);
+    set
+}
+
+/// Steps with timers until `until`, collecting all actions.
+fn wait(server: &mut Server, from: Micros, until: Micros) -> Vec<(Micros, Action)> {
+    let mut all = Vec::new();
+    let mut now = from;
+    while now <= until {
+        all.extend(step(server, now, vec![busy()]).into_iter().map(|a| (now, a)));
+        now += 20 * MS;
+    }
+    all
+}
+
+#[test]
+fn running_work_is_answered_by_its_due_time_and_stopped() {
+    let set = one_class(|c| c.aim = 6 * SEC);
+    let mut server = Server::new(0, set).expect("sound settings");
+    step(&mut server, 0, vec![Event::Arrived(arrival("a", 0, 900 * MS))]);
+    let all = wait(&mut server, 20 * MS, 2 * SEC);
+    let fail = all.iter().find(|(_, a)| *a == Action::Fail(id("a"))).expect("an answer").0;
+    assert!((800 * MS..=960 * MS).contains(&fail), "answered at {fail}");
+    assert!(all.contains(&(fail, Action::Halt(id("a")))));
+    assert_eq!(all.iter().filter(|(_, a)| *a == Action::Fail(id("a"))).count(), 1, "one answer");
+}
+
+#[test]
+fn work_that_can_not_be_stopped_is_answered_all_the_same() {
+    let mut set = settings();
+    set.halt = Halt::Never;
+    let mut server = Server::new(0, set).expect("sound settings");
+    step(&mut server, 0, vec![Event::Arrived(arrival("a", 0, 900 * MS))]);
+    let all = wait(&mut server, 20 * MS, 2 * SEC);
+    assert_eq!(all.iter().filter(|(_, a)| *a == Action::Fail(id("a"))).count(), 1);
+    assert!(!all.iter().any(|(_, a)| matches!(a, Action::Halt(_))));
+}
+
+#[test]
+fn a_request_at_a_call_is_answered_by_its_due_time() {
+    let mut set = one_class(|c| c.calls = true);
+    set.below = Below::Common;
+    let mut server = Server::new(0, set).expect("sound settings");
+    step(&mut server, 0, vec![Event::Arrived(arrival("a", 0, 900 * MS))]);
+    let out = step(&mut server, 10 * MS, vec![Event::NeedsCall(id("a"))]);
+    assert!(out.iter().any(|a| matches!(a, Action::Call(_, _))));
+    let all = wait(&mut server, 20 * MS, 2 * SEC);
+    let fail = all.iter().find(|(_, a)| *a == Action::Fail(id("a"))).expect("an answer").0;
+    assert!(fail <= 960 * MS);
+}
+
+#[test]
+fn without_a_stated_wait_the_deadline_of_the_class_counts_from_the_arrival() {
+    let set = one_class(|c| c.aim = c.deadline);
+    let mut server = Server::new(10 * SEC, set).expect("sound settings");
+    let late = Arrival { waits: None, queued: 5 * SEC, ..arrival("a", 0, 1) };
+    step(&mut server, 10 * SEC, vec![Event::Arrived(late)]);
+    let all = wait(&mut server, 10 * SEC + 20 * MS, 12 * SEC);
+    let fail = all.iter().find(|(_, a)| *a == Action::Fail(id("a"))).expect("an answer").0;
+    assert!((10_900 * MS..=11_060 * MS).contains(&fail), "answered at {fail}");
+}
+
+#[test]
+fn what_reached_the_machine_after_the_grace_never_runs() {
+    let mut server = Server::new(0, settings()).expect("sound settings");
+    step(&mut server, 0, vec![Event::Leave(20 * SEC)]);
+    let early = Arrival { queued: 600 * MS, ..arrival("early", 0, 6 * SEC) };
+    let out =
+        step(&mut server, 3 * SEC, vec![Event::Arrived(early), Event::Arrived(arrival("late", 0, 6 * SEC))]);
+    assert_eq!(admitted(&out), ["early"]);
+    assert_eq!(refused(&out), ["late"]);
+}
+
+#[test]
+fn all_is_answered_before_the_stop() {
+    let mut server = Server::new(0, settings()).expect("sound settings");
+    send(&mut server, 0, &[("a", 0), ("b", 1), ("c", 0)]);
+    step(&mut server, 10 * MS, vec![Event::Leave(SEC)]);
+    let all: Vec<Action> = wait(&mut server, 20 * MS, SEC).into_iter().map(|(_, a)| a).collect();
+    let mut answered = failed(&all);
+    answered.extend(refused(&all));
+    answered.sort();
+    assert_eq!(answered, ["a", "b", "c"]);
+    let out = step(&mut server, 1_005 * MS, vec![Event::Arrived(arrival("z", 0, 6 * SEC))]);
+    assert_eq!(refused(&out), ["z"], "and what is read in the last moment, at once");
+}
+
+#[test]
+fn a_repeat_of_a_keyed_request_joins_it() {
+    let set = one_class(|c| c.effect = Effect::Keyed);
+    let mut server = Server::new(0, set).expect("sound settings");
+    let out = send(&mut server, 0, &[("a", 0)]);
+    assert!(out.contains(&Action::Keep(id("a"), 5 * SEC)), "kept while it is here: {out:?}");
+    let again = Arrival { repeats: Some(id("a")), ..arrival("b", 0, 6 * SEC) };
+    let out = step(&mut server, 10 * MS, vec![Event::Arrived(again)]);
+    assert!(out.contains(&Action::Join(id("b"))));
+    let later: Vec<Action> = wait(&mut server, 20 * MS, 4 * SEC).into_iter().map(|(_, a)| a).collect();
+    assert!(admitted(&later).is_empty());
+    assert!(refused(&later).is_empty(), "it may share an effect, so it is never denied");
+    assert_eq!(failed(&later), ["a", "b"], "and both get their answer");
+}
+
+#[test]
+fn a_keyed_request_refused_before_it_ran_is_forgotten() {
+    let mut set = one_class(|c| c.effect = Effect::Keyed);
+    set.cores = 1;
+    let mut server = Server::new(0, set).expect("sound settings");
+    send(&mut server, 0, &[("a", 0), ("b", 0)]);
+    let all: Vec<Action> = wait(&mut server, 20 * MS, 3 * SEC).into_iter().map(|(_, a)| a).collect();
+    assert_eq!(refused(&all), ["b"]);
+    assert!(all.contains(&Action::Forget(id("b"))));
+    assert_eq!(failed(&all), ["a"], "what ran is failed, not denied");
+    assert!(!all.contains(&Action::Forget(id("a"))), "and stays known");
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_made_again_for_unsafe_work() {
+    let mut set = one_class(|c| {
+        c.effect = Effect::Unsafe;
+        c.calls = true;
+    });
+    set.below = Below::Common;
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Cut, Outcome::Refused, Outcome::Unreachable] {
+        let mut server = Server::new(0, set.clone()).expect("sound settings");
+        send(&mut server, 0, &[("a", 0)]);
+        step(&mut server, 10 * MS, vec![Event::NeedsCall(id("a"))]);
+        step(&mut server, 20 * MS, vec![Event::Called(id("a"), outcome, 10 * MS)]);
+        let all = wait(&mut server, 40 * MS, SEC);
+        let again = all.iter().any(|(_, a)| matches!(a, Action::Call(_, _)));
+        assert_eq!(again, outcome.never_ran(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn memory_is_kept_by_refusing_the_newest_of_the_lowest_level() {
+    let mut set = settings();
+    set.memory_kb = 2_000.0;
+    let mut server = Server::new(0, set).expect("sound settings");
+    // Held ones of 20 kB; a running one takes 320 kB.
+    let names: Vec<String> = (0..120).map(|n| format!("r{n:03}")).collect();
+    let all: Vec<(&str, usize)> = names.iter().enumerate().map(|(n, s)| (s.as_str(), n % 2)).collect();
+    let out = send(&mut server, 0, &all);
+    let gone = refused(&out);
+    assert!(!gone.is_empty());
+    assert_eq!(gone[0], "r118", "the newest of the low class goes first");
+    let (running, held) = (admitted(&out).len(), 120 - gone.len() - admitted(&out).len());
+    assert!((running * 320 + held * 20) as f64 <= 2_000.0);
+}
+
+#[test]
+fn a_cold_server_survives_a_smaller_crowd() {
+    let count = |cold: bool| {
+        let mut set = settings();
+        set.cold = cold;
+        set.crowd = 4.0;
+        let mut server = Server::new(0, set).expect("sound settings");
+        let names: Vec<String> = (0..40).map(|n| format!("r{n}")).collect();
+        let all: Vec<(&str, usize)> = names.iter().map(|n| (n.as_str(), 0)).collect();
+        let mut running = admitted(&send(&mut server, 0, &all)).len();
+        for reading in 1..4 {
+            running += admitted(&step(&mut server, reading * 500 * MS, vec![idle()])).len();
+        }
+        running
+    };
+    // 2 cores x (1 + 3 x 0.2) = 3.2 when just started, 8 when warm.
+    assert!(count(true) <= 3, "{} run", count(true));
+    assert!(count(false) > 3 && count(false) <= 8, "{} run", count(false));
+}
+
+#[test]
+fn calls_in_hand_stay_within_the_share() {
+    let mut set = one_class(|c| c.calls = true);
+    set.below = Below::Common;
+    set.call_share = 2.5;
+    set.cores = 6;
+    let mut server = Server::new(0, set).expect("sound settings");
+    let names = ["a", "b", "c", "d", "e", "f"];
+    send(&mut server, 0, &names.map(|n| (n, 0)));
+    let out = step(&mut server, MS, names.iter().map(|n| Event::NeedsCall(id(n))).collect());
+    assert_eq!(out.iter().filter(|a| matches!(a, Action::Call(_, _))).count(), 2);
+    // One given up lingers in the dependency's hands and keeps its place.
+    let out = step(&mut server, 2 * MS, vec![Event::Called(id("a"), Outcome::TimedOut, MS)]);
+    assert_eq!(out.iter().filter(|a| matches!(a, Action::Call(_, _))).count(), 0);
+    let out = step(&mut server, 300 * MS, vec![busy()]);
+    assert_eq!(out.iter().filter(|a| matches!(a, Action::Call(_, _))).count(), 1);
+}
+
+#[test]
+fn a_share_under_one_is_kept_in_the_mean() {
+    let mut set = one_class(|c| c.calls = true);
+    set.below = Below::Common;
+    set.call_share = 0.5;
+    let mut server = Server::new(0, set).expect("sound settings");
+    let mut busy_for = 0;
+    let mut now = 0;
+    // Always a request at a call; each call takes 100 ms.
+    for n in 0..400 {
+        let name = format!("r{n}");
+        step(&mut server, now, vec![Event::Arrived(arrival(&name, 0, 6 * SEC))]);
+        let mut out = step(&mut server, now, vec![Event::NeedsCall(id(&name))]);
+        while !out.iter().any(|a| matches!(a, Action::Call(_, _))) && now < 60 * SEC {
+            now += 20 * MS;
+            out = step(&mut server, now, vec![busy()]);
+            if failed(&out).contains(&name) {
+                step(&mut server, now, vec![Event::Ended(id(&name), Outcome::Stopped, 0)]);
+                break;
+            }
+        }
+        if out.iter().any(|a| matches!(a, Action::Call(_, _))) {
+            now += 100 * MS;
+            busy_for += 100 * MS;
+            step(&mut server, now, vec![Event::Called(id(&name), Outcome::Ok, 100 * MS)]);
+            step(&mut server, now, vec![ended(&name, 100 * MS)]);
+        }
+    }
+    let mean = busy_for as f64 / now as f64;
+    assert!(mean > 0.2 && mean <= 0.5, "mean calls in hand {mean}");
+}
+
+#[test]
+fn events_about_what_is_concluded_change_nothing() {
+    let mut server = Server::new(0, settings()).expect("sound settings");
+    send(&mut server, 0, &[("a", 0)]);
+    step(&mut server, MS, vec![ended("a", MS)]);
+    let stale = vec![
+        ended("a", MS),
+        Event::NeedsCall(id("a")),
+        Event::Called(id("a"), Outcome::Ok, MS),
+        Event::Gone(id("a")),
+        ended("never-seen", MS),
+    ];
+    let out = step(&mut server, 2 * MS, stale);
+    assert!(out.iter().all(|a| matches!(a, Action::Wake(_))), "{out:?}");
+}
+
+#[test]
+fn settings_that_make_no_sense_are_refused() {
+    let spoil: [fn(&mut Settings); 5] = [
+        |s| s.cores = 0,
+        |s| s.memory_kb = -1.0,
+        |s| s.crowd = -2.0,
+        |s| s.classes.clear(),
+        |s| s.call_share = f64::NAN,
+    ];
+    for change in spoil {
+        let mut set = settings();
+        change(&mut set);
+        assert!(Server::new(0, set).is_err());
+    }
+}
