--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,8 @@
 /// Time over which a tenant's rate is forgotten, in microseconds.
 const RATE_OVER: f64 = 5e6;
 const QUOTA_SLACK: f64 = 1.25;
+/// Share of further tries among arrivals above which refusals ask not to try elsewhere.
+const JAM: f64 = 0.3;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
@@ -147,8 +149,9 @@
     /// Mean time of a run by class, and how times follow hints over all classes.
     pace: Vec<Option<f64>>,
     line: Line,
-    /// Mean time that arrivals waited to be read.
+    /// Mean time that arrivals waited to be read, and the share of them that are further tries.
     unread: f64,
+    again: f64,
     errors: f64,
     sick: bool,
     probe_at: Micros,
@@ -187,6 +190,7 @@
             pace: vec![None; set.classes.len()],
             line: Line::default(),
             unread: 0.0,
+            again: 0.0,
             errors: 0.0,
             sick: false,
             probe_at: 0,
@@ -252,6 +256,7 @@
             due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
         }
         let age = self.age(&a, &class, reached, now);
+        self.again = blend(Some(self.again), f64::from(u8::from(a.retry || age > 0)));
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
@@ -544,6 +549,9 @@
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let (stay_away, unread) = (self.stay_away(), self.unread);
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
+        // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
+        // no better, and all that they cost is read here once more.
+        let jam = self.again > JAM;
         let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
         let Some(r) = self.all.get_mut(&seq) else { return };
         let id = r.id.clone();
@@ -553,7 +561,7 @@
                     out.push(Action::Forget(id.clone()));
                 }
                 // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
-                let terminal = now as f64 + unread + expected * START_AT > r.need as f64;
+                let terminal = jam || now as f64 + unread + expected * START_AT > r.need as f64;
                 // Advice would keep the caller's other tenants away as well, and beyond the quota no other
                 // server is to take it either.
                 let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
