--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,7 @@
 const RATE_OVER: f64 = 5e6;
 const QUOTA_SLACK: f64 = 1.25;
 /// Share of further tries among arrivals above which refusals ask not to try elsewhere.
-const JAM: f64 = 0.3;
+const JAM: f64 = 0.25;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
