--- a/src/choice.rs
+++ b/src/choice.rs
@@ -469,7 +469,8 @@
         let most = ((self.crowd(now) * SAFE_SHARE) as usize).max(cores);
         let crowded = self.crowding > f64::from(self.set.cores) * CROWDED;
         let limit = &mut self.limit;
-        if gauges.cpu.unwrap_or(1.0) < BUSY {
+        // The gauge looks back: where more wants a core than there are, none is free, whatever it says.
+        if gauges.cpu.unwrap_or(1.0) < BUSY && !crowded {
             limit.slots = running + cores;
             limit.step = -1;
             limit.before = 0.0;
