--- a/src/choice.rs
+++ b/src/choice.rs
@@ -393,9 +393,9 @@
         }
     }
 
-    /// Expected time of a run; 0 while nothing is known.
+    /// Expected time of a run. While nothing is known a fresh server may be slow: a share of the aim.
     fn expected(&self, r: &Request) -> f64 {
-        let mean = self.pace[r.class].unwrap_or(0.0);
+        let mean = self.pace[r.class].unwrap_or(self.set.classes[r.class].aim as f64 * PATIENCE);
         r.hint.and_then(|hint| self.line.at(hint)).unwrap_or(mean)
     }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -285,3 +285,25 @@
     }
     assert_eq!((calls, fails), (3, 1));
 }
+
+#[test]
+fn a_server_that_knows_nothing_yet_takes_little_into_its_hold() {
+    let mut server = server(settings());
+    let names: Vec<String> = (0..20).map(|n| format!("r{n}")).collect();
+    let all: Vec<(&str, usize)> = names.iter().map(|n| (n.as_str(), 0)).collect();
+    let out = send(&mut server, 0, &all);
+    assert_eq!(admitted(&out).len(), 2);
+    let held = 20 - 2 - refused(&out).len();
+    assert!((1..6).contains(&held), "{held} are held");
+}
+
+#[test]
+fn a_lagging_gauge_does_not_fill_cores_that_are_taken() {
+    let mut server = server(settings());
+    send(&mut server, 0, &[("a", 0), ("b", 0), ("c", 0)]);
+    let crowded = Event::Timer(Gauges { cpu: Some(0.3), on_cores: Some(6.0), ..Gauges::default() });
+    let early =
+        (1..25).flat_map(|n| step(&mut server, n * 20 * MS, vec![crowded.clone()])).collect::<Vec<_>>();
+    let reading = step(&mut server, 500 * MS, vec![crowded]);
+    assert!(admitted(&early).is_empty() && admitted(&reading).is_empty(), "{early:?} {reading:?}");
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -5,9 +5,11 @@
 use umberloom::interface::*;
 use umberloom::Server;
 
-/// A server whose two slots are taken by requests of the low class.
+/// A server whose two slots are taken by requests of the low class, and that knows runs to be short.
 fn taken(set: Settings) -> Server {
     let mut server = Server::new(0, set).expect("sound settings");
+    send(&mut server, 0, &[("v", 0), ("w", 1)]);
+    step(&mut server, 0, vec![ended("v", MS), ended("w", MS)]);
     let out = send(&mut server, 0, &[("x", 0), ("y", 0)]);
     assert_eq!(admitted(&out), ["x", "y"]);
     server
