--- a/src/choice.rs
+++ b/src/choice.rs
@@ -197,7 +197,7 @@
             rates: vec![(0.0, now); set.tenants.len()],
             habits: BTreeMap::new(),
             leave: None,
-            read_at: now,
+            read_at: now + READ_EVERY,
             awake: false,
             set,
         })
@@ -624,7 +624,7 @@
             let long = r.fresh && wait > (left - run) * PATIENCE;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
-            } else {
+            } else if place >= free {
                 ahead += run;
             }
         }
