--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,9 @@
 const QUOTA_SLACK: f64 = 1.25;
 /// Share of further tries among arrivals above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
+/// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
+const SLOW_CALLS: f64 = 3.0;
+const FORGET_BEST: f64 = 1.001;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
@@ -121,6 +124,10 @@
 #[derive(Default)]
 struct Calls {
     typical: Option<f64>,
+    /// The shortest that calls typically took, slowly forgotten.
+    best: f64,
+    /// Calls in hand at once: fewer while they take much longer than at best.
+    bound: f64,
     failures: u32,
     probe_at: Micros,
     /// Ends of calls given up that the dependency may still hold.
@@ -186,7 +193,7 @@
             worths,
             limit,
             crowding: 0.0,
-            calls: Calls { seen: now, ..Calls::default() },
+            calls: Calls { seen: now, bound: set.call_share * SAFE_SHARE, ..Calls::default() },
             pace: vec![None; set.classes.len()],
             line: Line::default(),
             unread: 0.0,
@@ -513,7 +520,11 @@
             }
             let room = self.set.memory_kb * SAFE_SHARE - self.memory();
             let grows = self.set.run_factor - 1.0;
-            let Some(seq) = self.pick(now, |r| r.held_kb * grows <= room) else { return };
+            // Those at calls have a bound of their own: beyond it only what makes no call starts.
+            let calls_full = at_calls >= self.set.cores as usize * 2;
+            let may_start =
+                |r: &Request| r.held_kb * grows <= room && !(calls_full && self.set.classes[r.class].calls);
+            let Some(seq) = self.pick(now, may_start) else { return };
             self.hold.retain(|&s| s != seq);
             if let Some(r) = self.all.get_mut(&seq) {
                 r.stage = Stage::Running;
@@ -689,7 +700,19 @@
             return true;
         }
         let share = self.set.call_share * SAFE_SHARE;
-        self.in_hand() as f64 + 1.0 <= share.max(1.0) && self.calls.mean <= share
+        self.in_hand() as f64 + 1.0 <= share.min(self.calls.bound).max(1.0) && self.calls.mean <= share
+    }
+
+    /// A crowded dependency does less the more it holds, long before it falls: when calls take much
+    /// longer than at best this server has fewer in hand, and more again by and by once they are quick.
+    fn ease_calls(&mut self, took: f64) {
+        let most = (self.set.call_share * SAFE_SHARE).max(1.0);
+        let calls = &mut self.calls;
+        let typical = blend(calls.typical, took);
+        calls.best = if calls.typical.is_none() { typical } else { typical.min(calls.best * FORGET_BEST) };
+        calls.typical = Some(typical);
+        let step = if typical > calls.best * SLOW_CALLS { -NEWEST } else { NEWEST / calls.bound };
+        calls.bound = (calls.bound + step).clamp(1.0, most);
     }
 
     fn called(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros) {
@@ -700,8 +723,8 @@
         if outcome == Outcome::Ok {
             r.stage = Stage::Running;
             r.call_tries = 0;
-            self.calls.typical = Some(blend(self.calls.typical, took as f64));
             self.calls.failures = 0;
+            self.ease_calls(took as f64);
             return;
         }
         r.call_spent |= !outcome.never_ran();
@@ -724,13 +747,15 @@
         let may_call = self.may_call();
         let down = self.calls.failures >= CALL_TRIES && now < self.calls.probe_at;
         let typical = self.calls.typical.unwrap_or(0.0) as Micros;
+        // After the call there is work to do yet.
+        let rest = self.all.get(&seq).map_or(0.0, |r| self.expected(r) * START_AT) as Micros;
         let Some(r) = self.all.get_mut(&seq) else { return };
         let class = &self.set.classes[r.class];
         let until = if r.late { r.due } else { r.need };
         let can_skip = class.skip_worth > 0.0;
         let barred = r.call_spent && class.effect != Effect::Safe;
         let hopeless = barred || r.call_tries >= CALL_TRIES || now + typical >= until;
-        if can_skip && (hopeless || down) {
+        if can_skip && (hopeless || down || now + typical + rest >= until) {
             r.stage = Stage::Running;
             out.push(Action::SkipCall(r.id.clone()));
         } else if hopeless {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -307,3 +307,60 @@
     let reading = step(&mut server, 500 * MS, vec![crowded]);
     assert!(admitted(&early).is_empty() && admitted(&reading).is_empty(), "{early:?} {reading:?}");
 }
+
+#[test]
+fn a_slow_dependency_gets_fewer_calls_at_once_and_more_when_it_is_quick_again() {
+    let mut set = calling(0.0);
+    set.cores = 6;
+    set.classes.iter_mut().for_each(|c| c.aim = 6 * SEC);
+    let mut server = server(set);
+    let (mut now, mut n) = (0, 0);
+    let mut round = |server: &mut Server, took: Micros| {
+        let names: Vec<String> = (0..5).map(|i| format!("c{n}-{i}")).collect();
+        n += 1;
+        let events = names.iter().map(|name| Event::Arrived(arrival(name, 0, 6 * SEC))).collect();
+        step(server, now, events);
+        let mut out = step(server, now, names.iter().map(|name| Event::NeedsCall(id(name))).collect());
+        let mut most = 0;
+        // Calls end one lot after another until all five are through.
+        loop {
+            let called: Vec<RequestId> = out
+                .iter()
+                .filter_map(|a| if let Action::Call(r, _) = a { Some(r.clone()) } else { None })
+                .collect();
+            if called.is_empty() {
+                break;
+            }
+            most = most.max(called.len());
+            now += took;
+            out =
+                step(server, now, called.into_iter().map(|r| Event::Called(r, Outcome::Ok, took)).collect());
+        }
+        step(server, now, names.iter().map(|name| ended(name, MS)).collect());
+        most
+    };
+    let at_best = (0..10).map(|_| round(&mut server, 20 * MS)).max();
+    let slow = (0..20).map(|_| round(&mut server, 200 * MS)).last();
+    let again = (0..80).map(|_| round(&mut server, 20 * MS)).last();
+    assert_eq!(at_best, Some(5));
+    assert_eq!(slow, Some(1));
+    assert_eq!(again, Some(5));
+}
+
+#[test]
+fn what_makes_no_call_goes_on_while_calls_hang() {
+    let mut set = calling(0.0);
+    set.classes[1].calls = false;
+    set.classes.iter_mut().for_each(|c| c.aim = 6 * SEC);
+    let mut server = taught(set);
+    let mut started = Vec::new();
+    for n in 0..20 {
+        let name = format!("c{n}");
+        let out = send(&mut server, n * MS, &[(&name, 0)]);
+        started.extend(admitted(&out));
+        step(&mut server, n * MS, vec![Event::NeedsCall(id(&name))]);
+    }
+    assert_eq!(started.len(), 4, "twice the cores stand at calls");
+    let out = send(&mut server, 30 * MS, &[("free", 1)]);
+    assert_eq!(admitted(&out), ["free"]);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -90,6 +90,14 @@
     step(server, now, events)
 }
 
+/// A server that knows from two runs that work is short.
+pub fn taught(set: Settings) -> Server {
+    let mut server = Server::new(0, set).expect("sound settings");
+    send(&mut server, 0, &[("v", 0), ("w", 1)]);
+    step(&mut server, 0, vec![ended("v", MS), ended("w", MS)]);
+    server
+}
+
 pub fn busy() -> Event {
     Event::Timer(Gauges { cpu: Some(1.0), on_cores: Some(2.0), memory: Some(0.1), connections: Some(3.0) })
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -7,9 +7,7 @@
 
 /// A server whose two slots are taken by requests of the low class, and that knows runs to be short.
 fn taken(set: Settings) -> Server {
-    let mut server = Server::new(0, set).expect("sound settings");
-    send(&mut server, 0, &[("v", 0), ("w", 1)]);
-    step(&mut server, 0, vec![ended("v", MS), ended("w", MS)]);
+    let mut server = taught(set);
     let out = send(&mut server, 0, &[("x", 0), ("y", 0)]);
     assert_eq!(admitted(&out), ["x", "y"]);
     server
@@ -68,7 +66,7 @@
 fn filling_stays_within_the_survivable_crowd() {
     let mut set = settings();
     set.crowd = 2.0;
-    let mut server = Server::new(0, set).expect("sound settings");
+    let mut server = taught(set);
     let names: Vec<String> = (0..30).map(|n| format!("r{n}")).collect();
     let all: Vec<(&str, usize)> = names.iter().map(|n| (n.as_str(), 0)).collect();
     let mut running = admitted(&send(&mut server, 0, &all)).len();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -11,12 +11,12 @@
     set
 }
 
-/// Steps with timers until `until`, collecting all actions.
+/// Steps until `until`, collecting all actions; no reading, which might raise the limit.
 fn wait(server: &mut Server, from: Micros, until: Micros) -> Vec<(Micros, Action)> {
     let mut all = Vec::new();
     let mut now = from;
     while now <= until {
-        all.extend(step(server, now, vec![busy()]).into_iter().map(|a| (now, a)));
+        all.extend(step(server, now, vec![Event::Gone(id("nobody"))]).into_iter().map(|a| (now, a)));
         now += 20 * MS;
     }
     all
@@ -113,7 +113,7 @@
 fn a_keyed_request_refused_before_it_ran_is_forgotten() {
     let mut set = one_class(|c| c.effect = Effect::Keyed);
     set.cores = 1;
-    let mut server = Server::new(0, set).expect("sound settings");
+    let mut server = taught(set);
     send(&mut server, 0, &[("a", 0), ("b", 0)]);
     let all: Vec<Action> = wait(&mut server, 20 * MS, 3 * SEC).into_iter().map(|(_, a)| a).collect();
     assert_eq!(refused(&all), ["b"]);
@@ -144,7 +144,7 @@
 fn memory_is_kept_by_refusing_the_newest_of_the_lowest_level() {
     let mut set = settings();
     set.memory_kb = 2_000.0;
-    let mut server = Server::new(0, set).expect("sound settings");
+    let mut server = taught(set);
     // Held ones of 20 kB; a running one takes 320 kB.
     let names: Vec<String> = (0..120).map(|n| format!("r{n:03}")).collect();
     let all: Vec<(&str, usize)> = names.iter().enumerate().map(|(n, s)| (s.as_str(), n % 2)).collect();
@@ -162,7 +162,7 @@
         let mut set = settings();
         set.cold = cold;
         set.crowd = 4.0;
-        let mut server = Server::new(0, set).expect("sound settings");
+        let mut server = taught(set);
         let names: Vec<String> = (0..40).map(|n| format!("r{n}")).collect();
         let all: Vec<(&str, usize)> = names.iter().map(|n| (n.as_str(), 0)).collect();
         let mut running = admitted(&send(&mut server, 0, &all)).len();
