--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,8 +93,10 @@
 /// A server that knows from two runs that work is short.
 pub fn taught(set: Settings) -> Server {
     let mut server = Server::new(0, set).expect("sound settings");
-    send(&mut server, 0, &[("v", 0), ("w", 1)]);
-    step(&mut server, 0, vec![ended("v", MS), ended("w", MS)]);
+    for (name, class) in [("v", 0), ("w", 1)] {
+        send(&mut server, 0, &[(name, class)]);
+        step(&mut server, 0, vec![ended(name, MS)]);
+    }
     server
 }
 
