--- a/src/choice.rs
+++ b/src/choice.rs
@@ -632,7 +632,8 @@
             let wait = if place < free { 0.0 } else { (ahead + run) / slots };
             let takes = if place < free { run * START_AT } else { wait + run };
             let left = until as f64 - now as f64;
-            let long = r.fresh && wait > (left - run) * PATIENCE;
+            let patience = 2.0 * PATIENCE * self.level(now, r) as f64 / self.worths.len() as f64;
+            let long = r.fresh && wait > (left - run) * patience;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else if place >= free {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -364,3 +364,23 @@
     let out = send(&mut server, 30 * MS, &[("free", 1)]);
     assert_eq!(admitted(&out), ["free"]);
 }
+
+#[test]
+fn a_higher_level_may_wait_longer_for_its_own_kind() {
+    let held = |class: usize| {
+        let mut set = settings();
+        set.classes = vec![class_of(1.0), class_of(2.0), class_of(5.0)];
+        let (mut server, now) = warm(set, 480 * MS);
+        let events = (0..20).map(|n| {
+            let rank = [0.1, 0.5, 0.9][class];
+            Event::Arrived(Arrival { rank, ..arrival(&format!("r{n}"), class, 6 * SEC) })
+        });
+        20 - refused(&step(&mut server, now, events.collect())).len()
+    };
+    let counts = [held(0), held(1), held(2)];
+    assert!(counts[0] < counts[1] && counts[1] < counts[2], "{counts:?}");
+}
+
+fn class_of(worth: f64) -> Class {
+    Class { aim: 2 * SEC, ..class(worth) }
+}
