--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 const FORGET_BEST: f64 = 1.001;
+/// What is left of old evidence about health after half a second without new.
+const FADE: f64 = 0.8;
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
@@ -161,6 +163,10 @@
     again: f64,
     errors: f64,
     sick: bool,
+    swamped: bool,
+    /// What checks are told, and whether anything arrived since the last reading.
+    ready: bool,
+    heard: bool,
     probe_at: Micros,
     /// Starts a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
@@ -200,6 +206,9 @@
             again: 0.0,
             errors: 0.0,
             sick: false,
+            swamped: false,
+            ready: true,
+            heard: false,
             probe_at: 0,
             rates: vec![(0.0, now); set.tenants.len()],
             habits: BTreeMap::new(),
@@ -216,6 +225,7 @@
         for event in events {
             self.take(now, event, out);
         }
+        self.tell_health(out);
         self.answer_due(now, out);
         self.shed(now, out);
         self.make_room(now, out);
@@ -235,14 +245,11 @@
     fn take(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
-            Event::Ended(id, outcome, took) => self.ended(now, &id, outcome, took, out),
+            Event::Ended(id, outcome, took) => self.ended(now, &id, outcome, took),
             Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
             Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
             Event::Gone(id) => self.gone(&id, out),
-            Event::Leave(grace) => {
-                self.leave = Some((now, now + grace));
-                out.push(Action::Ready(false));
-            }
+            Event::Leave(grace) => self.leave = Some((now, now + grace)),
             Event::Timer(gauges) => {
                 self.awake = false;
                 self.read(now, gauges, out);
@@ -268,6 +275,7 @@
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
         self.unread = blend(Some(self.unread), a.queued as f64);
+        self.heard = true;
         let seq = self.next;
         self.next += 1;
         let place = (a.rank.clamp(0.0, 1.0) * self.worths.len() as f64) as usize;
@@ -379,7 +387,7 @@
         }
     }
 
-    fn ended(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros, out: &mut Vec<Action>) {
+    fn ended(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros) {
         let Some(&seq) = self.names.get(id) else { return };
         let Some(r) = self.all.get(&seq) else { return };
         if r.stage != Stage::Joined && matches!(outcome, Outcome::Ok | Outcome::Error) {
@@ -388,7 +396,7 @@
             if outcome == Outcome::Ok {
                 self.learn(class, hint, took as f64);
             }
-            self.judge(now, outcome == Outcome::Error, out);
+            self.judge(now, outcome == Outcome::Error);
         }
         self.remove(seq);
     }
@@ -467,6 +475,7 @@
         }
         self.read_at = now + READ_EVERY;
         self.keys.retain(|_, end| *end > now);
+        self.fade();
         // A stop asked for while the cores stood still had no effect: ask again.
         if self.set.halt != Halt::Never {
             let stray = self.all.values().filter(|r| r.over && r.stage == Stage::Running);
@@ -662,13 +671,35 @@
 
     /// Keeps the share of failed runs. A server that fails quickly draws work and spoils it: it turns
     /// away with advice, tells checks so, and lets single requests through until they do well.
-    fn judge(&mut self, now: Micros, failed: bool, out: &mut Vec<Action>) {
+    fn judge(&mut self, now: Micros, failed: bool) {
         self.errors += 0.2 * (f64::from(u8::from(failed)) - self.errors);
         let was = self.sick;
         self.sick = self.errors > if was { SICK.1 } else { SICK.0 };
         if was != self.sick {
             self.probe_at = now;
-            out.push(Action::Ready(!self.sick && self.leave.is_none()));
+        }
+    }
+
+    /// Without new evidence the old fades: nothing stays marked bad for good.
+    fn fade(&mut self) {
+        if !self.heard {
+            self.errors *= FADE;
+            self.sick &= self.errors > SICK.1;
+            self.unread *= FADE;
+        }
+        self.heard = false;
+    }
+
+    /// Says whether callers should come. Not while sick, nor while what is read has waited unread so
+    /// long that no answer comes in time: then not even refusals reach their callers, and only a list
+    /// that leaves this server out lets it catch up.
+    fn tell_health(&mut self, out: &mut Vec<Action>) {
+        let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        self.swamped = self.unread > tightest * if self.swamped { PATIENCE } else { 1.0 };
+        let well = !self.sick && !self.swamped && self.leave.is_none();
+        if self.ready != well {
+            self.ready = well;
+            out.push(Action::Ready(well));
         }
     }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -384,3 +384,42 @@
 fn class_of(worth: f64) -> Class {
     Class { aim: 2 * SEC, ..class(worth) }
 }
+
+fn told(actions: &[Action]) -> Vec<bool> {
+    actions.iter().filter_map(|a| if let Action::Ready(r) = a { Some(*r) } else { None }).collect()
+}
+
+#[test]
+fn a_swamped_server_is_not_ready_until_what_stood_unread_is_gone() {
+    let mut server = server(settings());
+    let mut said = Vec::new();
+    for n in 0..20 {
+        let late = Arrival { queued: 3 * SEC, ..arrival(&format!("r{n}"), 0, 500 * MS) };
+        said.extend(told(&step(&mut server, n * 100 * MS, vec![Event::Arrived(late), busy()])));
+    }
+    assert_eq!(said, [false], "what it reads is older than any aim");
+    // Nothing comes any more; with the old evidence faded it is ready to be seen again.
+    for n in 0..40 {
+        said.extend(told(&step(&mut server, 2 * SEC + n * 500 * MS, vec![idle()])));
+    }
+    assert_eq!(said, [false, true]);
+}
+
+#[test]
+fn a_sick_server_that_nobody_tries_is_ready_again_by_and_by() {
+    let mut server = server(settings());
+    let mut said = Vec::new();
+    for n in 0..6 {
+        let name = format!("r{n}");
+        step(&mut server, n * 200 * MS, vec![Event::Arrived(arrival(&name, 0, 6 * SEC))]);
+        let out =
+            step(&mut server, n * 200 * MS + MS, vec![Event::Ended(id(&name), Outcome::Error, MS), busy()]);
+        said.extend(told(&out));
+    }
+    for n in 0..40 {
+        said.extend(told(&step(&mut server, 2 * SEC + n * 500 * MS, vec![idle()])));
+    }
+    assert_eq!(said, [false, true]);
+    let out = send(&mut server, 30 * SEC, &[("a", 0), ("b", 0)]);
+    assert_eq!(admitted(&out), ["a", "b"], "it takes work as usual");
+}
