--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,7 +48,7 @@
 /// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
 const HABITS_KEPT: usize = 4096;
 const HABIT_VOTES: u32 = 32;
-const SAME_WAIT: f64 = 0.01;
+const SAME_WAIT: f64 = 0.02;
 
 /// Where a request stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -170,8 +170,8 @@
     probe_at: Micros,
     /// Starts a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
-    /// The usual wait of each caller's tries, as a share of the deadline, and the votes for it.
-    habits: BTreeMap<u64, (f64, u32)>,
+    /// The usual waits of each caller's tries, as shares of the deadline, and the votes for them.
+    habits: BTreeMap<u64, [(f64, u32); 2]>,
     /// Notice to leave, and when the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
@@ -270,7 +270,10 @@
             due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
         }
         let age = self.age(&a, &class, reached, now);
-        self.again = blend(Some(self.again), f64::from(u8::from(a.retry || age > 0)));
+        self.again = blend(
+            Some(self.again),
+            f64::from(u8::from(a.retry || age as f64 > SAME_WAIT * class.deadline as f64)),
+        );
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
@@ -313,30 +316,34 @@
         }
     }
 
-    /// How old a try is at least. A caller's first tries all wait for one share of the deadline: the
-    /// share that most tries state. A longer wait is what is left to a client that tries again; a
-    /// shorter one has already walked from server to server.
+    /// How old a try is at least. A caller has two usual waits, as shares of the deadline: one for a
+    /// single attempt, and what clients give a whole try, less what has passed of it. What is longer
+    /// than both is the rest of the deadline, left to a client's last try. Behind the first tier waits
+    /// tell nothing: each is what its caller's own request has left.
     fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
         let Some(waits) = a.waits.map(|w| (now + w - reached) as f64) else { return 0 };
+        if self.set.tier > 0 {
+            return 0;
+        }
         let share = waits / class.deadline as f64;
         if self.habits.len() > HABITS_KEPT {
             self.habits.clear();
         }
-        let (usual, votes) = self.habits.entry(a.caller).or_insert((share, 0));
-        let same = (share - *usual).abs() < SAME_WAIT;
-        if !a.retry {
-            match (same, *votes) {
-                (true, _) => *votes = (*votes + 1).min(HABIT_VOTES),
-                (false, 0) => *usual = share,
-                (false, _) => *votes -= 1,
-            }
-        }
-        let sure = *votes >= HABIT_VOTES / 8 && !same;
-        match sure {
-            false => 0,
-            true if share > *usual => class.deadline.saturating_sub(waits as Micros),
-            true => ((*usual - share) * class.deadline as f64) as Micros,
-        }
+        let habits = self.habits.entry(a.caller).or_insert([(share, 0); 2]);
+        let like = |usual: f64| share < usual + SAME_WAIT / 4.0 && share > usual - SAME_WAIT;
+        // The rest after a first attempt that timed out is no habit, however often it comes.
+        let rest = habits.iter().any(|(usual, votes)| *votes >= HABIT_VOTES / 8 && like(1.0 - usual));
+        if let Some((usual, votes)) = habits.iter_mut().find(|(usual, _)| like(*usual)) {
+            (*usual, *votes) = (usual.max(share), (*votes + 1).min(HABIT_VOTES));
+        } else if a.retry || rest {
+            // Marked as a further try, or known for one.
+        } else if let Some(weak) = habits.iter_mut().min_by_key(|(_, votes)| *votes) {
+            *weak = if weak.1 == 0 { (share, 1) } else { (weak.0, weak.1 - 1) };
+        }
+        let sure = habits.iter().filter(|(_, votes)| *votes >= HABIT_VOTES / 8).map(|(usual, _)| *usual);
+        let whole = sure.clone().filter(|usual| share < usual + SAME_WAIT / 4.0).min_by(f64::total_cmp);
+        let whole = whole.or(sure.max_by(f64::total_cmp).map(|_| 1.0)).unwrap_or(share);
+        ((whole - share).max(0.0) * class.deadline as f64) as Micros
     }
 
     /// Keeps the rate at which a tenant's requests are started, forgetting over some seconds.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -423,3 +423,28 @@
     let out = send(&mut server, 30 * SEC, &[("a", 0), ("b", 0)]);
     assert_eq!(admitted(&out), ["a", "b"], "it takes work as usual");
 }
+
+#[test]
+fn a_caller_may_have_two_usual_waits() {
+    let mut server = server(settings());
+    let mut now = 0;
+    for n in 0..60 {
+        // Attempts wait 2.4 s, and a third of the tries get the client's 3 s whole.
+        let waits = if n % 3 == 0 { 3_000 * MS } else { 2_400 * MS };
+        now = habit(&mut server, now, 1, waits);
+    }
+    let out = step(&mut server, now, vec![Event::Arrived(arrival("whole", 0, 3_000 * MS))]);
+    assert_eq!(admitted(&out), ["whole"], "not three seconds old: {out:?}");
+    let out = step(&mut server, now + MS, vec![Event::Arrived(arrival("old", 0, 3_500 * MS))]);
+    assert_eq!(refusal(&out, "old").map(|r| r.1), Some(true), "2.5 s old: {out:?}");
+}
+
+#[test]
+fn behind_the_first_tier_waits_tell_nothing() {
+    let mut set = settings();
+    set.tier = 1;
+    let mut server = server(set);
+    let now = habit(&mut server, 0, 20, 5_000 * MS);
+    let out = step(&mut server, now, vec![Event::Arrived(arrival("short", 0, 2_500 * MS))]);
+    assert_eq!(admitted(&out), ["short"]);
+}
