--- a/src/choice.rs
+++ b/src/choice.rs
@@ -341,8 +341,10 @@
             *weak = if weak.1 == 0 { (share, 1) } else { (weak.0, weak.1 - 1) };
         }
         let sure = habits.iter().filter(|(_, votes)| *votes >= HABIT_VOTES / 8).map(|(usual, _)| *usual);
-        let whole = sure.clone().filter(|usual| share < usual + SAME_WAIT / 4.0).min_by(f64::total_cmp);
-        let whole = whole.or(sure.max_by(f64::total_cmp).map(|_| 1.0)).unwrap_or(share);
+        let whole = sure.filter(|usual| share < usual + SAME_WAIT / 4.0).min_by(f64::total_cmp);
+        // Only well after the first habit is known can a second no longer be mistaken for such a rest.
+        let known = habits.iter().any(|(_, votes)| *votes >= HABIT_VOTES / 2);
+        let whole = whole.or(known.then_some(1.0)).unwrap_or(share);
         ((whole - share).max(0.0) * class.deadline as f64) as Micros
     }
 
