--- a/src/choice.rs
+++ b/src/choice.rs
@@ -539,7 +539,7 @@
             let room = self.set.memory_kb * SAFE_SHARE - self.memory();
             let grows = self.set.run_factor - 1.0;
             // Those at calls have a bound of their own: beyond it only what makes no call starts.
-            let calls_full = at_calls >= self.set.cores as usize * 2;
+            let calls_full = at_calls >= self.set.cores as usize * 4;
             let may_start =
                 |r: &Request| r.held_kb * grows <= room && !(calls_full && self.set.classes[r.class].calls);
             let Some(seq) = self.pick(now, may_start) else { return };
