--- a/src/choice.rs
+++ b/src/choice.rs
@@ -170,6 +170,8 @@
     probe_at: Micros,
     /// Starts a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
+    /// The middle one of what tenants have had of their parts.
+    typical_use: f64,
     /// The usual waits of each caller's tries, as shares of the deadline, and the votes for them.
     habits: BTreeMap<u64, [(f64, u32); 2]>,
     /// Notice to leave, and when the process is stopped.
@@ -211,6 +213,7 @@
             heard: false,
             probe_at: 0,
             rates: vec![(0.0, now); set.tenants.len()],
+            typical_use: 0.0,
             habits: BTreeMap::new(),
             leave: None,
             read_at: now + READ_EVERY,
@@ -257,8 +260,6 @@
         }
     }
 
-    // ---- arrivals -------------------------------------------------------------------------------
-
     fn arrive(&mut self, now: Micros, a: Arrival, out: &mut Vec<Action>) {
         let Some(class) = self.set.classes.get(a.class).cloned() else {
             out.push(Action::Fail(a.id));
@@ -356,13 +357,17 @@
         }
     }
 
-    /// Whether its tenant has already had this server's part of its quota. Parts are uneven: some slack.
-    fn over_quota(&self, now: Micros, r: &Request) -> bool {
-        let (Some(t), Some((rate, seen))) = (self.set.tenants.get(r.tenant), self.rates.get(r.tenant)) else {
-            return false;
-        };
+    /// What a tenant has had here, as a multiple of this server's part of its quota.
+    fn quota_used(&self, now: Micros, tenant: usize) -> Option<f64> {
+        let (quota, (rate, seen)) = (self.set.tenants.get(tenant)?.quota_per_s, self.rates.get(tenant)?);
         let rate = rate * (-((now - seen) as f64) / RATE_OVER).exp();
-        rate > QUOTA_SLACK * t.quota_per_s / f64::from(self.set.servers)
+        Some(rate * f64::from(self.set.servers) / quota.max(1e-9))
+    }
+
+    /// Whether its tenant has already had its part. Parts are uneven: some slack, and where most
+    /// tenants have had more than theirs this server draws more than its part of all traffic.
+    fn over_quota(&self, now: Micros, r: &Request) -> bool {
+        self.quota_used(now, r.tenant).is_some_and(|used| used > QUOTA_SLACK * self.typical_use.max(1.0))
     }
 
     /// What a request is worth now.
@@ -379,8 +384,6 @@
         self.worths.iter().filter(|&&w| w <= value).count()
     }
 
-    // ---- what runs ------------------------------------------------------------------------------
-
     fn set_stage(&mut self, id: &RequestId, from: Stage, to: Stage) {
         if let Some(r) = self.names.get(id).and_then(|seq| self.all.get_mut(seq)) {
             if r.stage == from {
@@ -473,8 +476,6 @@
         }
     }
 
-    // ---- the design: the limit, the search, the start ---------------------------------------------
-
     fn read(&mut self, now: Micros, gauges: Gauges, out: &mut Vec<Action>) {
         if let Some(on_cores) = gauges.on_cores {
             self.crowding = blend(Some(self.crowding), on_cores);
@@ -485,6 +486,9 @@
         self.read_at = now + READ_EVERY;
         self.keys.retain(|_, end| *end > now);
         self.fade();
+        let mut used: Vec<f64> = (0..self.rates.len()).filter_map(|t| self.quota_used(now, t)).collect();
+        used.sort_by(f64::total_cmp);
+        self.typical_use = used.get(used.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
         // A stop asked for while the cores stood still had no effect: ask again.
         if self.set.halt != Halt::Never {
             let stray = self.all.values().filter(|r| r.over && r.stage == Stage::Running);
@@ -554,8 +558,6 @@
         }
     }
 
-    // ---- answers --------------------------------------------------------------------------------
-
     /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on.
     fn answer_due(&mut self, now: Micros, out: &mut Vec<Action>) {
         let sweep = self.sweep();
@@ -676,8 +678,6 @@
         }
     }
 
-    // ---- health ---------------------------------------------------------------------------------
-
     /// Keeps the share of failed runs. A server that fails quickly draws work and spoils it: it turns
     /// away with advice, tells checks so, and lets single requests through until they do well.
     fn judge(&mut self, now: Micros, failed: bool) {
@@ -720,8 +720,6 @@
         may
     }
 
-    // ---- calls below ----------------------------------------------------------------------------
-
     fn in_hand(&self) -> usize {
         self.count(|r| r.stage == Stage::Calling) + self.calls.lingering.len()
     }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -448,3 +448,23 @@
     let out = step(&mut server, now, vec![Event::Arrived(arrival("short", 0, 2_500 * MS))]);
     assert_eq!(admitted(&out), ["short"]);
 }
+
+#[test]
+fn a_server_that_draws_all_traffic_does_not_take_all_tenants_for_floods() {
+    let mut set = settings();
+    set.tenants = vec![Tenant { quota_per_s: 4.0 }; 3];
+    let mut server = server(set);
+    // Each tenant has ten starts a second here, ten times this server's part; one has three times that.
+    let mut now = 0;
+    for n in 0..200 {
+        now = n * 20 * MS;
+        let name = format!("r{n}");
+        let tenant = [0, 1, 0, 2, 0][n as usize % 5];
+        step(&mut server, now, vec![of(tenant, &name, 1), busy()]);
+        step(&mut server, now + 10 * MS, vec![ended(&name, 10 * MS)]);
+    }
+    step(&mut server, now + 20 * MS, vec![of(1, "x", 1), of(2, "y", 1)]);
+    step(&mut server, now + 21 * MS, vec![of(0, "flood", 1), of(2, "low", 0), of(1, "high", 1)]);
+    let out = step(&mut server, now + 22 * MS, vec![ended("x", MS), ended("y", MS)]);
+    assert_eq!(admitted(&out), ["high", "low"], "only the tenant above the others is over its quota");
+}
