--- a/src/choice.rs
+++ b/src/choice.rs
@@ -228,7 +228,7 @@
         for event in events {
             self.take(now, event, out);
         }
-        self.tell_health(out);
+        self.tell_health(now, out);
         self.answer_due(now, out);
         self.shed(now, out);
         self.make_room(now, out);
@@ -702,10 +702,11 @@
     /// Says whether callers should come. Not while sick, nor while what is read has waited unread so
     /// long that no answer comes in time: then not even refusals reach their callers, and only a list
     /// that leaves this server out lets it catch up.
-    fn tell_health(&mut self, out: &mut Vec<Action>) {
+    fn tell_health(&mut self, now: Micros, out: &mut Vec<Action>) {
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
         self.swamped = self.unread > tightest * if self.swamped { PATIENCE } else { 1.0 };
-        let well = !self.sick && !self.swamped && self.leave.is_none();
+        let leaving = self.leave.is_some_and(|(notice, _)| now >= notice + self.set.drain_grace / 2);
+        let well = !self.sick && !self.swamped && !leaving;
         if self.ready != well {
             self.ready = well;
             out.push(Action::Ready(well));
