--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::{
     Action, Arrival, BadSettings, Below, Class, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId,
-    Settings,
+    Settings, Signal,
 };
 
 /// Places of the hold that one search looks at.
@@ -139,6 +139,21 @@
     seen: Micros,
 }
 
+/// What is known of this server's own state.
+#[derive(Default)]
+struct Health {
+    /// Mean time that arrivals waited to be read, and the share of them that are further tries.
+    unread: f64,
+    again: f64,
+    errors: f64,
+    sick: bool,
+    swamped: bool,
+    /// Checks are told so; and whether anything arrived since the last reading.
+    unwell: bool,
+    heard: bool,
+    probe_at: Micros,
+}
+
 /// The decisions of one server.
 pub struct Server {
     set: Settings,
@@ -158,16 +173,7 @@
     /// Mean time of a run by class, and how times follow hints over all classes.
     pace: Vec<Option<f64>>,
     line: Line,
-    /// Mean time that arrivals waited to be read, and the share of them that are further tries.
-    unread: f64,
-    again: f64,
-    errors: f64,
-    sick: bool,
-    swamped: bool,
-    /// What checks are told, and whether anything arrived since the last reading.
-    ready: bool,
-    heard: bool,
-    probe_at: Micros,
+    health: Health,
     /// Starts a second by tenant, and when last brought up to date.
     rates: Vec<(f64, Micros)>,
     /// The middle one of what tenants have had of their parts.
@@ -204,14 +210,7 @@
             calls: Calls { seen: now, bound: set.call_share * SAFE_SHARE, ..Calls::default() },
             pace: vec![None; set.classes.len()],
             line: Line::default(),
-            unread: 0.0,
-            again: 0.0,
-            errors: 0.0,
-            sick: false,
-            swamped: false,
-            ready: true,
-            heard: false,
-            probe_at: 0,
+            health: Health::default(),
             rates: vec![(0.0, now); set.tenants.len()],
             typical_use: 0.0,
             habits: BTreeMap::new(),
@@ -228,7 +227,7 @@
         for event in events {
             self.take(now, event, out);
         }
-        self.tell_health(now, out);
+        self.tell_health(out);
         self.answer_due(now, out);
         self.shed(now, out);
         self.make_room(now, out);
@@ -271,15 +270,13 @@
             due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
         }
         let age = self.age(&a, &class, reached, now);
-        self.again = blend(
-            Some(self.again),
-            f64::from(u8::from(a.retry || age as f64 > SAME_WAIT * class.deadline as f64)),
-        );
+        let again = a.retry || age as f64 > SAME_WAIT * class.deadline as f64;
+        self.health.again = blend(Some(self.health.again), f64::from(u8::from(again)));
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
-        self.unread = blend(Some(self.unread), a.queued as f64);
-        self.heard = true;
+        self.health.unread = blend(Some(self.health.unread), a.queued as f64);
+        self.health.heard = true;
         let seq = self.next;
         self.next += 1;
         let place = (a.rank.clamp(0.0, 1.0) * self.worths.len() as f64) as usize;
@@ -537,7 +534,7 @@
             let (running, at_calls) = (self.running(), self.at_calls());
             // Calls may all come back at once, so those at calls count towards the survivable crowd.
             let full = running >= self.limit.slots || (running + at_calls) as f64 + 1.0 > crowd;
-            if self.hold.is_empty() || full || (self.sick && !self.may_probe(now)) {
+            if self.hold.is_empty() || full || (self.health.sick && !self.may_probe(now)) {
                 return;
             }
             let room = self.set.memory_kb * SAFE_SHARE - self.memory();
@@ -579,11 +576,11 @@
 
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let (stay_away, unread) = (self.stay_away(), self.unread);
+        let (stay_away, unread) = (self.stay_away(), self.health.unread);
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
         // no better, and all that they cost is read here once more.
-        let jam = self.again > JAM;
+        let jam = self.health.again > JAM;
         let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
         let Some(r) = self.all.get_mut(&seq) else { return };
         let id = r.id.clone();
@@ -621,17 +618,17 @@
 
     /// Advice: about as long as the hold, or what stands unread before it, takes to empty.
     fn stay_away(&self) -> Micros {
-        if self.sick || self.leave.is_some() {
+        if self.health.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
         let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
-        ((work / self.limit.slots as f64).max(self.unread) as Micros).min(self.set.advice_max)
+        ((work / self.limit.slots as f64).max(self.health.unread) as Micros).min(self.set.advice_max)
     }
 
     /// Refuses early what, in the order of the search, can't be done in time: the answer comes while
     /// another server may still do it, and no work is lost on it.
     fn shed(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if self.sick {
+        if self.health.sick {
             for seq in self.hold.clone().into_iter().skip(1) {
                 self.give_up(now, seq, out);
             }
@@ -660,11 +657,7 @@
                 ahead += run;
             }
         }
-        self.hold.iter().for_each(|seq| {
-            if let Some(r) = self.all.get_mut(seq) {
-                r.fresh = false;
-            }
-        });
+        self.all.values_mut().for_each(|r| r.fresh = false);
     }
 
     /// Memory: refuses the newest of the lowest level until what is held fits, then the newest of those
@@ -681,42 +674,51 @@
     /// Keeps the share of failed runs. A server that fails quickly draws work and spoils it: it turns
     /// away with advice, tells checks so, and lets single requests through until they do well.
     fn judge(&mut self, now: Micros, failed: bool) {
-        self.errors += 0.2 * (f64::from(u8::from(failed)) - self.errors);
-        let was = self.sick;
-        self.sick = self.errors > if was { SICK.1 } else { SICK.0 };
-        if was != self.sick {
-            self.probe_at = now;
+        self.health.errors += 0.2 * (f64::from(u8::from(failed)) - self.health.errors);
+        let was = self.health.sick;
+        self.health.sick = self.health.errors > if was { SICK.1 } else { SICK.0 };
+        if was != self.health.sick {
+            self.health.probe_at = now;
         }
     }
 
     /// Without new evidence the old fades: nothing stays marked bad for good.
     fn fade(&mut self) {
-        if !self.heard {
-            self.errors *= FADE;
-            self.sick &= self.errors > SICK.1;
-            self.unread *= FADE;
+        if !self.health.heard {
+            self.health.errors *= FADE;
+            self.health.sick &= self.health.errors > SICK.1;
+            self.health.unread *= FADE;
         }
-        self.heard = false;
+        self.health.heard = false;
     }
 
     /// Says whether callers should come. Not while sick, nor while what is read has waited unread so
     /// long that no answer comes in time: then not even refusals reach their callers, and only a list
     /// that leaves this server out lets it catch up.
-    fn tell_health(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn tell_health(&mut self, out: &mut Vec<Action>) {
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        self.swamped = self.unread > tightest * if self.swamped { PATIENCE } else { 1.0 };
-        let leaving = self.leave.is_some_and(|(notice, _)| now >= notice + self.set.drain_grace / 2);
-        let well = !self.sick && !self.swamped && !leaving;
-        if self.ready != well {
-            self.ready = well;
-            out.push(Action::Ready(well));
+        self.health.swamped =
+            self.health.unread > tightest * if self.health.swamped { PATIENCE } else { 1.0 };
+        let unwell = self.health.sick || self.health.swamped || self.leave.is_some();
+        if self.health.unwell != unwell {
+            self.health.unwell = unwell;
+            out.push(Action::Ready(!unwell));
+            // The free value says the same, for as long as callers keep it.
+            let value = match self.set.signal {
+                Signal::Silent => return,
+                Signal::MinRank => f64::from(u8::from(unwell)),
+                Signal::Weight => f64::from(u8::from(!unwell)),
+                Signal::Tokens if unwell => 1.0,
+                Signal::Tokens => f64::from(self.set.cores) * self.set.crowd,
+            };
+            out.push(Action::Signal(value));
         }
     }
 
     fn may_probe(&mut self, now: Micros) -> bool {
-        let may = now >= self.probe_at && self.running() < 2;
+        let may = now >= self.health.probe_at && self.running() < 2;
         if may {
-            self.probe_at = now + PROBE_EVERY;
+            self.health.probe_at = now + PROBE_EVERY;
         }
         may
     }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -468,3 +468,26 @@
     let out = step(&mut server, now + 22 * MS, vec![ended("x", MS), ended("y", MS)]);
     assert_eq!(admitted(&out), ["high", "low"], "only the tenant above the others is over its quota");
 }
+
+#[test]
+fn the_free_value_follows_health_in_every_mode() {
+    let modes = [(Signal::MinRank, [1.0, 0.0]), (Signal::Weight, [0.0, 1.0]), (Signal::Tokens, [1.0, 16.0])];
+    for (signal, wanted) in modes {
+        let mut set = settings();
+        set.signal = signal;
+        let mut server = server(set);
+        let mut said = Vec::new();
+        for n in 0..60 {
+            let now = n * 500 * MS;
+            let events = if n < 20 {
+                let late = Arrival { queued: 3 * SEC, ..arrival(&format!("r{n}"), 0, 300 * MS) };
+                vec![Event::Arrived(late), busy()]
+            } else {
+                vec![idle()]
+            };
+            let out = step(&mut server, now + 3 * SEC, events);
+            said.extend(out.iter().filter_map(|a| if let Action::Signal(x) = a { Some(*x) } else { None }));
+        }
+        assert_eq!(said, wanted, "{signal:?}");
+    }
+}
