--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -20,6 +20,7 @@
     Attach { who: u64, txn: &'a str },
     Readiness { who: u64, enable: bool, from_state: bool },
     Say { who: u64, x: f64 },
+    Idle { who: u64, span_us: Micros },
     Arm { who: u64, wait_us: Micros, nonce: &'a str },
     Debug { who: u64, text: &'a str },
     Crash { who: u64, text: &'a str },
@@ -41,6 +42,7 @@
             Action::Join(txn) => Line::Attach { who, txn },
             Action::Ready(good) => Line::Readiness { who, enable: *good, from_state: true },
             Action::Signal(x) => Line::Say { who, x: *x },
+            Action::CloseIdle(span) => Line::Idle { who, span_us: *span },
             Action::Wake(wait) => Line::Arm { who, wait_us: *wait, nonce: TIMER },
             Action::Log(text) => Line::Debug { who, text },
         }
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -116,6 +116,7 @@
         (Action::Join(id), r#"{"op":"attach","who":3,"txn":"a"}"#),
         (Action::Ready(false), r#"{"op":"readiness","who":3,"enable":false,"from_state":true}"#),
         (Action::Signal(0.25), r#"{"op":"say","who":3,"x":0.25}"#),
+        (Action::CloseIdle(70), r#"{"op":"idle","who":3,"span_us":70}"#),
         (Action::Wake(500), r#"{"op":"arm","who":3,"wait_us":500,"nonce":"wake"}"#),
         (Action::Log("hi".into()), r#"{"op":"debug","who":3,"text":"hi"}"#),
     ];
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,7 +50,6 @@
 const HABIT_VOTES: u32 = 32;
 const SAME_WAIT: f64 = 0.02;
 
-/// Where a request stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Stage {
     Held,
@@ -251,7 +250,11 @@
             Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
             Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
             Event::Gone(id) => self.gone(&id, out),
-            Event::Leave(grace) => self.leave = Some((now, now + grace)),
+            Event::Leave(grace) => {
+                self.leave = Some((now, now + grace));
+                // Connections that carry nothing are not to wait for the end: their callers go elsewhere.
+                out.push(Action::CloseIdle(self.set.drain_grace));
+            }
             Event::Timer(gauges) => {
                 self.awake = false;
                 self.read(now, gauges, out);
@@ -333,9 +336,9 @@
         let rest = habits.iter().any(|(usual, votes)| *votes >= HABIT_VOTES / 8 && like(1.0 - usual));
         if let Some((usual, votes)) = habits.iter_mut().find(|(usual, _)| like(*usual)) {
             (*usual, *votes) = (usual.max(share), (*votes + 1).min(HABIT_VOTES));
-        } else if a.retry || rest {
-            // Marked as a further try, or known for one.
-        } else if let Some(weak) = habits.iter_mut().min_by_key(|(_, votes)| *votes) {
+        } else if let Some(weak) =
+            habits.iter_mut().min_by_key(|(_, votes)| *votes).filter(|_| !a.retry && !rest)
+        {
             *weak = if weak.1 == 0 { (share, 1) } else { (weak.0, weak.1 - 1) };
         }
         let sure = habits.iter().filter(|(_, votes)| *votes >= HABIT_VOTES / 8).map(|(usual, _)| *usual);
@@ -717,9 +720,7 @@
 
     fn may_probe(&mut self, now: Micros) -> bool {
         let may = now >= self.health.probe_at && self.running() < 2;
-        if may {
-            self.health.probe_at = now + PROBE_EVERY;
-        }
+        self.health.probe_at = if may { now + PROBE_EVERY } else { self.health.probe_at };
         may
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,6 +301,8 @@
     Ready(bool),
     /// Set the free value.
     Signal(f64),
+    /// Close connections that have carried nothing for this long.
+    CloseIdle(Micros),
     /// Come back with a timer after this span.
     Wake(Micros),
     /// A line for the log.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -354,7 +354,7 @@
             Action::Signal(x) => {
                 assert!(self.set.signal != Signal::Silent && *x >= 0.0, "no value is sent here");
             }
-            Action::Ready(_) | Action::Log(_) => {}
+            Action::Ready(_) | Action::CloseIdle(_) | Action::Log(_) => {}
         }
     }
 
