--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -242,6 +242,7 @@
     let rules = object(options, "guarantees")?;
     let empty = Object::new();
     let limits = optional(options, "limits", "an object", Value::as_object)?.unwrap_or(&empty);
+    let prices = optional(options, "prices", "an object", Value::as_object)?.unwrap_or(&empty);
     let below = [("silent", Below::Nothing), ("common", Below::Common), ("next_hop", Below::NextTier)];
     let halts = [("silent", Halt::Never), ("drop", Halt::Drop), ("pause", Halt::Pause)];
     let signals = [
@@ -272,6 +273,8 @@
         signal: one_of(info, "say", "silent", &signals)?,
         shared_reads: whole_or(info, "fresh_us", 0)?,
         advice_max: if advice { whole_or(limits, "max_retry_after_us", 0)? } else { 0 },
+        connect_price: number_or(prices, "handshake", 0.0)?,
+        idle_max: whole_or(info, "idle_us", 0)?,
         answer_slack: whole(rules, "grace_to_answer_us")?,
         drain_grace: whole(rules, "drain_grace_us")?,
         crowd: number(rules, "fall_multiple")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const QUOTA_SLACK: f64 = 1.25;
 /// Share of further tries among arrivals above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
+/// Share of arrivals over new connections above which they do so too.
+const STRANGE: f64 = 0.5;
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 const FORGET_BEST: f64 = 1.001;
@@ -50,8 +52,9 @@
 const HABIT_VOTES: u32 = 32;
 const SAME_WAIT: f64 = 0.02;
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 enum Stage {
+    #[default]
     Held,
     Running,
     /// Waits for the answer of the request that it repeats.
@@ -61,6 +64,7 @@
     Calling,
 }
 
+#[derive(Default)]
 struct Request {
     id: RequestId,
     class: usize,
@@ -77,8 +81,8 @@
     /// After this an answer is worth little or nothing.
     need: Micros,
     late: bool,
-    /// Not yet looked at since it arrived.
-    fresh: bool,
+    /// Looked at since it arrived.
+    known: bool,
     started: Micros,
     call_tries: u32,
     /// A call of it may have taken effect.
@@ -144,6 +148,8 @@
     /// Mean time that arrivals waited to be read, and the share of them that are further tries.
     unread: f64,
     again: f64,
+    /// Share of arrivals from callers that have not been here within the time that connections stay.
+    strangers: f64,
     errors: f64,
     sick: bool,
     swamped: bool,
@@ -178,11 +184,13 @@
     /// The middle one of what tenants have had of their parts.
     typical_use: f64,
     /// The usual waits of each caller's tries, as shares of the deadline, and the votes for them.
-    habits: BTreeMap<u64, [(f64, u32); 2]>,
-    /// Notice to leave, and when the process is stopped.
+    habits: BTreeMap<u64, ([(f64, u32); 2], Micros)>,
+    /// Notice to leave, and when all must be answered: well before the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
     awake: bool,
+    /// Connections idle for longer are closed.
+    idle: Micros,
 }
 
 fn blend(mean: Option<f64>, sample: f64) -> f64 {
@@ -216,6 +224,7 @@
             leave: None,
             read_at: now + READ_EVERY,
             awake: false,
+            idle: set.idle_max,
             set,
         })
     }
@@ -249,9 +258,15 @@
             Event::Ended(id, outcome, took) => self.ended(now, &id, outcome, took),
             Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
             Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
-            Event::Gone(id) => self.gone(&id, out),
+            Event::Gone(id) => {
+                if let Some(&seq) = self.names.get(&id) {
+                    self.let_go(seq, out);
+                }
+            }
             Event::Leave(grace) => {
-                self.leave = Some((now, now + grace));
+                let end = now + grace.saturating_sub(self.set.answer_slack.max(3 * self.sweep()));
+                self.leave = Some((now, end));
+                self.all.values_mut().for_each(|r| r.due = r.due.min(end));
                 // Connections that carry nothing are not to wait for the end: their callers go elsewhere.
                 out.push(Action::CloseIdle(self.set.drain_grace));
             }
@@ -269,10 +284,9 @@
         };
         let reached = now.saturating_sub(a.queued);
         let mut due = a.waits.map_or((reached + class.deadline).max(now), |w| now + w);
-        if let Some((_, stop)) = self.leave {
-            due = due.min(stop.saturating_sub(self.set.answer_slack.max(3 * self.sweep())));
-        }
+        due = due.min(self.leave.map_or(due, |(_, end)| end));
         let age = self.age(&a, &class, reached, now);
+        self.meet(now, a.caller);
         let again = a.retry || age as f64 > SAME_WAIT * class.deadline as f64;
         self.health.again = blend(Some(self.health.again), f64::from(u8::from(again)));
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
@@ -290,15 +304,9 @@
             worth: self.worths[place.min(self.worths.len() - 1)],
             held_kb: a.held_kb,
             hint: a.cost.map(|c| c as f64),
-            stage: Stage::Held,
-            over: false,
             due,
             need,
-            late: false,
-            fresh: true,
-            started: 0,
-            call_tries: 0,
-            call_spent: false,
+            ..Request::default()
         };
         self.names.insert(a.id.clone(), seq);
         self.all.insert(seq, request);
@@ -327,10 +335,7 @@
             return 0;
         }
         let share = waits / class.deadline as f64;
-        if self.habits.len() > HABITS_KEPT {
-            self.habits.clear();
-        }
-        let habits = self.habits.entry(a.caller).or_insert([(share, 0); 2]);
+        let (habits, _) = self.habits.entry(a.caller).or_insert(([(share, 0); 2], 0));
         let like = |usual: f64| share < usual + SAME_WAIT / 4.0 && share > usual - SAME_WAIT;
         // The rest after a first attempt that timed out is no habit, however often it comes.
         let rest = habits.iter().any(|(usual, votes)| *votes >= HABIT_VOTES / 8 && like(1.0 - usual));
@@ -349,6 +354,18 @@
         ((whole - share).max(0.0) * class.deadline as f64) as Micros
     }
 
+    /// Notes when a caller was here last; what is kept of callers gives way oldest first.
+    fn meet(&mut self, now: Micros, caller: u64) {
+        let (_, seen) = self.habits.entry(caller).or_insert(([(1.0, 0); 2], 0));
+        let strange = self.set.connect_price > 0.0 && (*seen == 0 || *seen + self.idle < now);
+        *seen = now;
+        self.health.strangers = blend(Some(self.health.strangers), f64::from(u8::from(strange)));
+        if self.habits.len() > HABITS_KEPT {
+            let oldest = self.habits.iter().min_by_key(|(_, (_, seen))| *seen).map(|(&caller, _)| caller);
+            oldest.and_then(|caller| self.habits.remove(&caller));
+        }
+    }
+
     /// Keeps the rate at which a tenant's requests are started, forgetting over some seconds.
     fn count_tenant(&mut self, now: Micros, tenant: usize) {
         if let Some((rate, seen)) = self.rates.get_mut(tenant) {
@@ -370,17 +387,12 @@
         self.quota_used(now, r.tenant).is_some_and(|used| used > QUOTA_SLACK * self.typical_use.max(1.0))
     }
 
-    /// What a request is worth now.
-    fn value(&self, now: Micros, r: &Request) -> f64 {
-        let late = if r.late { self.set.classes[r.class].late_worth } else { 1.0 };
-        let over = if self.over_quota(now, r) { self.set.over_share_worth } else { 1.0 };
-        r.worth * late * over
-    }
-
     /// The level of a request: how many class worths its own value reaches. Over quota or late it
     /// is downgraded to a lower level.
     fn level(&self, now: Micros, r: &Request) -> usize {
-        let value = self.value(now, r) * 1.000_001;
+        let late = if r.late { self.set.classes[r.class].late_worth } else { 1.0 };
+        let over = if self.over_quota(now, r) { self.set.over_share_worth } else { 1.0 };
+        let value = r.worth * late * over * 1.000_001;
         self.worths.iter().filter(|&&w| w <= value).count()
     }
 
@@ -440,13 +452,10 @@
 
     /// Running requests that this server survives, fewer while it is cold.
     fn crowd(&self, now: Micros) -> f64 {
-        let cold = if self.set.cold && self.set.cold_for > 0 {
-            let warmed = (now - self.born) as f64 / self.set.cold_for as f64;
-            (self.set.cold_from + (1.0 - self.set.cold_from) * warmed).min(1.0)
-        } else {
-            1.0
-        };
-        f64::from(self.set.cores) * (1.0 + (self.set.crowd - 1.0) * cold)
+        let warmed = (now - self.born) as f64 / self.set.cold_for.max(1) as f64;
+        let warmed = if self.set.cold { warmed.min(1.0) } else { 1.0 };
+        let speed = self.set.cold_from + (1.0 - self.set.cold_from) * warmed;
+        f64::from(self.set.cores) * (1.0 + (self.set.crowd - 1.0) * speed)
     }
 
     fn memory(&self) -> f64 {
@@ -457,25 +466,6 @@
         self.all.values().map(one).sum::<f64>() + self.keys.len() as f64 * self.set.key_kb
     }
 
-    fn gone(&mut self, id: &RequestId, out: &mut Vec<Action>) {
-        let Some(&seq) = self.names.get(id) else { return };
-        let Some(r) = self.all.get_mut(&seq) else { return };
-        match r.stage {
-            Stage::Held | Stage::Joined => {
-                if r.stage == Stage::Held && self.keys.remove(id).is_some() {
-                    out.push(Action::Forget(id.clone()));
-                }
-                self.remove(seq);
-            }
-            stage => {
-                r.over = true;
-                if stage == Stage::Running && self.set.halt != Halt::Never {
-                    out.push(Action::Halt(id.clone()));
-                }
-            }
-        }
-    }
-
     fn read(&mut self, now: Micros, gauges: Gauges, out: &mut Vec<Action>) {
         if let Some(on_cores) = gauges.on_cores {
             self.crowding = blend(Some(self.crowding), on_cores);
@@ -485,7 +475,13 @@
         }
         self.read_at = now + READ_EVERY;
         self.keys.retain(|_, end| *end > now);
-        self.fade();
+        // Without new evidence the old fades: nothing stays marked bad for good.
+        if !std::mem::take(&mut self.health.heard) {
+            self.health.errors *= FADE;
+            self.health.sick &= self.health.errors > SICK.1;
+            self.health.unread *= FADE;
+        }
+        self.close_idle(gauges.connections.unwrap_or(0.0), out);
         let mut used: Vec<f64> = (0..self.rates.len()).filter_map(|t| self.quota_used(now, t)).collect();
         used.sort_by(f64::total_cmp);
         self.typical_use = used.get(used.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
@@ -560,20 +556,14 @@
 
     /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on.
     fn answer_due(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let sweep = self.sweep();
-        let leave = self.leave.map(|(_, stop)| stop.saturating_sub(self.set.answer_slack.max(3 * sweep)));
-        let seqs: Vec<u64> = self.all.iter().filter(|(_, r)| !r.over).map(|(&s, _)| s).collect();
-        for seq in seqs {
-            let Some(r) = self.all.get_mut(&seq) else { continue };
-            if leave.is_some_and(|end| now >= end) || now + sweep > r.due {
-                self.give_up(now, seq, out);
-            } else if now >= r.need && !r.late {
-                if self.set.classes[r.class].late_worth > 0.0 {
-                    r.late = true;
-                } else {
-                    self.give_up(now, seq, out);
-                }
-            }
+        let (sweep, classes) = (self.sweep(), &self.set.classes);
+        let end = self.all.iter_mut().filter(|(_, r)| !r.over).filter_map(|(&seq, r)| {
+            let earns_late = classes[r.class].late_worth > 0.0;
+            r.late |= earns_late && now >= r.need;
+            (now + sweep > r.due || (now >= r.need && !earns_late)).then_some(seq)
+        });
+        for seq in end.collect::<Vec<_>>() {
+            self.give_up(now, seq, out);
         }
     }
 
@@ -583,39 +573,40 @@
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
         // no better, and all that they cost is read here once more.
-        let jam = self.health.again > JAM;
+        let jam = self.health.again > JAM || self.health.strangers > STRANGE;
         let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
-        let Some(r) = self.all.get_mut(&seq) else { return };
+        let Some(r) = self.all.get(&seq) else { return };
         let id = r.id.clone();
-        match r.stage {
-            Stage::Held => {
-                if self.keys.remove(&id).is_some() {
-                    out.push(Action::Forget(id.clone()));
-                }
-                // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
-                let terminal = jam || now as f64 + unread + expected * START_AT > r.need as f64;
-                // Advice would keep the caller's other tenants away as well, and beyond the quota no other
-                // server is to take it either.
-                let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
-                out.push(Action::Refuse { id, stay_away, terminal });
-                self.remove(seq);
-            }
-            Stage::Joined => {
-                out.push(Action::Fail(id));
-                self.remove(seq);
-            }
-            stage => {
-                r.over = true;
-                out.push(Action::Fail(id.clone()));
-                if stage == Stage::Running && self.set.halt != Halt::Never {
-                    out.push(Action::Halt(id));
-                }
-                // It took at least so long: a server grown slow must notice by what it never finishes.
-                let (class, hint, ran) = (r.class, r.hint, (now - r.started) as f64);
-                if ran > self.pace[class].unwrap_or(0.0) {
-                    self.learn(class, hint, ran);
-                }
+        if r.stage == Stage::Held {
+            // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
+            let terminal = jam || now as f64 + unread + expected * START_AT > r.need as f64;
+            // Advice would keep the caller's other tenants away as well, and beyond the quota no other
+            // server is to take it either.
+            let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
+            out.push(Action::Refuse { id, stay_away, terminal });
+        } else {
+            out.push(Action::Fail(id));
+        }
+        // It took at least so long: a server grown slow must notice by what it never finishes.
+        let (stage, class, hint, ran) = (r.stage, r.class, r.hint, (now - r.started) as f64);
+        if !matches!(stage, Stage::Held | Stage::Joined) && ran > self.pace[class].unwrap_or(0.0) {
+            self.learn(class, hint, ran);
+        }
+        self.let_go(seq, out);
+    }
+
+    /// Nobody waits for it any more: what has begun is stopped where that can be done.
+    fn let_go(&mut self, seq: u64, out: &mut Vec<Action>) {
+        let Some(r) = self.all.get_mut(&seq) else { return };
+        if matches!(r.stage, Stage::Held | Stage::Joined) {
+            if self.keys.remove(&r.id).is_some() {
+                out.push(Action::Forget(r.id.clone()));
             }
+            return self.remove(seq);
+        }
+        r.over = true;
+        if r.stage == Stage::Running && self.set.halt != Halt::Never {
+            out.push(Action::Halt(r.id.clone()));
         }
     }
 
@@ -653,14 +644,14 @@
             let takes = if place < free { run * START_AT } else { wait + run };
             let left = until as f64 - now as f64;
             let patience = 2.0 * PATIENCE * self.level(now, r) as f64 / self.worths.len() as f64;
-            let long = r.fresh && wait > (left - run) * patience;
+            let long = !r.known && wait > (left - run) * patience;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else if place >= free {
                 ahead += run;
             }
         }
-        self.all.values_mut().for_each(|r| r.fresh = false);
+        self.all.values_mut().for_each(|r| r.known = true);
     }
 
     /// Memory: refuses the newest of the lowest level until what is held fits, then the newest of those
@@ -685,14 +676,17 @@
         }
     }
 
-    /// Without new evidence the old fades: nothing stays marked bad for good.
-    fn fade(&mut self) {
-        if !self.health.heard {
-            self.health.errors *= FADE;
-            self.health.sick &= self.health.errors > SICK.1;
-            self.health.unread *= FADE;
+    /// An open connection takes a part of the cores and a place that another caller may need: more than
+    /// the survivable crowd are of no use at once, so those that carried nothing longest are closed.
+    fn close_idle(&mut self, open: f64, out: &mut Vec<Action>) {
+        let useful = f64::from(self.set.cores) * self.set.crowd;
+        let sooner = if open > useful { self.idle / 2 } else { self.idle };
+        let span = if open < useful / 2.0 { self.idle * 2 } else { sooner };
+        let span = span.max(READ_EVERY).min(self.set.idle_max);
+        if span != self.idle && self.leave.is_none() {
+            self.idle = span;
+            out.push(Action::CloseIdle(span));
         }
-        self.health.heard = false;
     }
 
     /// Says whether callers should come. Not while sick, nor while what is read has waited unread so
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -131,6 +131,10 @@
     pub shared_reads: Micros,
     /// The longest advice to stay away that is heeded; 0: none is passed on.
     pub advice_max: Micros,
+    /// Callers close connections that have carried nothing for this long.
+    pub idle_max: Micros,
+    /// Price of a new connection, in points of the result for one a request; 0: none.
+    pub connect_price: f64,
     /// After its due time an answer is still valid for this long.
     pub answer_slack: Micros,
     /// What arrives later than this after the notice to leave must not run.
@@ -171,6 +175,7 @@
             (positive(self.run_factor), "the memory factor of running work must be above 0"),
             (share(self.key_kb), "memory of a key must not be negative"),
             (self.servers > 0, "the tier has no server"),
+            (share(self.connect_price), "the price of a connection must not be negative"),
             (share(self.call_share), "the share of calls must not be negative"),
             (self.crowd.is_finite() && self.crowd >= 1.0, "the survivable crowd is under one a core"),
             ((0.0..=1.0).contains(&self.cold_from), "the cold share of speed is outside 0 to 1"),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -491,3 +491,58 @@
         assert_eq!(said, wanted, "{signal:?}");
     }
 }
+
+fn open_connections(open: f64) -> Event {
+    Event::Timer(Gauges { cpu: Some(0.5), on_cores: Some(1.0), memory: Some(0.1), connections: Some(open) })
+}
+
+fn closing(actions: &[Action]) -> Option<Micros> {
+    actions.iter().find_map(|a| if let Action::CloseIdle(span) = a { Some(*span) } else { None })
+}
+
+/// Guards against a connection table that callers of a large fleet fill and that nobody gets past.
+#[test]
+fn idle_connections_beyond_the_survivable_crowd_are_closed_sooner() {
+    let mut server = server(settings());
+    assert_eq!(closing(&step(&mut server, SEC, vec![open_connections(12.0)])), None, "a crowd is 16");
+    assert_eq!(closing(&step(&mut server, 2 * SEC, vec![open_connections(40.0)])), Some(15 * SEC));
+    assert_eq!(closing(&step(&mut server, 3 * SEC, vec![open_connections(40.0)])), Some(7_500 * MS));
+    assert_eq!(closing(&step(&mut server, 4 * SEC, vec![open_connections(12.0)])), None);
+    assert_eq!(closing(&step(&mut server, 5 * SEC, vec![open_connections(3.0)])), Some(15 * SEC));
+}
+
+fn stranger(n: u64) -> Event {
+    Event::Arrived(Arrival { caller: 100 + n, ..arrival(&format!("s{n}"), 0, 6 * SEC) })
+}
+
+/// Guards against walks of which each step costs a new connection and is read once more.
+#[test]
+fn refusals_to_strangers_are_terminal_where_connections_have_a_price() {
+    let (mut priced, now) = warm(settings(), 600 * MS);
+    let out = step(&mut priced, now, (0..12).map(stranger).collect());
+    assert_eq!(refusal(&out, "s11").map(|r| r.1), Some(true));
+    let same = |n: u64| Event::Arrived(arrival(&format!("f{n}"), 0, 6 * SEC));
+    let out = step(&mut priced, now + MS, (0..30).map(same).collect());
+    assert_eq!(refusal(&out, "f29").map(|r| r.1), Some(false), "known callers have a connection");
+    let (mut free, now) = warm(Settings { connect_price: 0.0, ..settings() }, 600 * MS);
+    let out = step(&mut free, now, (0..12).map(stranger).collect());
+    assert_eq!(refusal(&out, "s11").map(|r| r.1), Some(false));
+}
+
+/// What is kept of callers is bounded; one that is often here keeps its habit while thousands pass.
+#[test]
+fn callers_are_forgotten_oldest_first() {
+    let mut server = server(settings());
+    let now = habit(&mut server, 0, 20, 5_000 * MS);
+    for n in 0..6_000 {
+        let at = now + n * MS;
+        let mut events = vec![stranger(n)];
+        if n % 100 == 0 {
+            events.push(Event::Arrived(arrival(&format!("k{n}"), 0, 5_000 * MS)));
+        }
+        step(&mut server, at, events);
+        step(&mut server, at, vec![ended(&format!("s{n}"), MS), ended(&format!("k{n}"), MS)]);
+    }
+    let out = step(&mut server, now + 6 * SEC, vec![Event::Arrived(arrival("walked", 0, 2_900 * MS))]);
+    assert_eq!(refusal(&out, "walked").map(|r| r.1), Some(true), "still known as 2.1 s old: {out:?}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,8 @@
         signal: Signal::Silent,
         shared_reads: 0,
         advice_max: SEC,
+        connect_price: 0.02,
+        idle_max: 30 * SEC,
         answer_slack: 60 * MS,
         drain_grace: 2_500 * MS,
         crowd: 8.0,
