--- a/src/choice.rs
+++ b/src/choice.rs
@@ -573,7 +573,7 @@
         let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
         // no better, and all that they cost is read here once more.
-        let jam = self.health.again > JAM || self.health.strangers > STRANGE;
+        let jam = self.jam();
         let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
         let Some(r) = self.all.get(&seq) else { return };
         let id = r.id.clone();
@@ -595,6 +595,11 @@
         self.let_go(seq, out);
     }
 
+    /// Whether refusals ask not to try elsewhere.
+    fn jam(&self) -> bool {
+        self.health.again > JAM || self.health.strangers > STRANGE
+    }
+
     /// Nobody waits for it any more: what has begun is stopped where that can be done.
     fn let_go(&mut self, seq: u64, out: &mut Vec<Action>) {
         let Some(r) = self.all.get_mut(&seq) else { return };
@@ -644,7 +649,7 @@
             let takes = if place < free { run * START_AT } else { wait + run };
             let left = until as f64 - now as f64;
             let patience = 2.0 * PATIENCE * self.level(now, r) as f64 / self.worths.len() as f64;
-            let long = !r.known && wait > (left - run) * patience;
+            let long = !r.known && !self.jam() && wait > (left - run) * patience;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else if place >= free {
