--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,20 +36,18 @@
 const CALL_TRIES: u32 = 3;
 
 /// Time over which a tenant's rate is forgotten, in microseconds.
-const RATE_OVER: f64 = 5e6;
+const RATE_OVER: f64 = 10e6;
 const QUOTA_SLACK: f64 = 1.25;
-/// Share of further tries among arrivals above which refusals ask not to try elsewhere.
+/// Shares of further tries and of new connections above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
-/// Share of arrivals over new connections above which they do so too.
 const STRANGE: f64 = 0.5;
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 const FORGET_BEST: f64 = 1.001;
 /// What is left of old evidence about health after half a second without new.
 const FADE: f64 = 0.8;
-/// Callers whose habit is kept, the votes that one can gather, and how alike waits of one habit are.
-const HABITS_KEPT: usize = 4096;
-const HABIT_VOTES: u32 = 32;
+/// Votes that a usual wait can gather, and how alike waits of one habit are.
+const WAIT_VOTES: u32 = 32;
 const SAME_WAIT: f64 = 0.02;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -183,8 +181,10 @@
     rates: Vec<(f64, Micros)>,
     /// The middle one of what tenants have had of their parts.
     typical_use: f64,
-    /// The usual waits of each caller's tries, as shares of the deadline, and the votes for them.
-    habits: BTreeMap<u64, ([(f64, u32); 2], Micros)>,
+    /// Callers, and when each was here last.
+    callers: BTreeMap<u64, Micros>,
+    /// The usual waits of tries over all callers: at full size most callers are met rarely.
+    waits: [Wait; 6],
     /// Notice to leave, and when all must be answered: well before the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
@@ -197,6 +197,40 @@
     mean.map_or(sample, |m| m + NEWEST * (sample - m))
 }
 
+/// A usual wait of tries as a share of the deadline, and the votes for it.
+type Wait = (f64, u32);
+
+fn like(share: f64, usual: f64) -> bool {
+    share < usual + SAME_WAIT / 4.0 && share > usual - SAME_WAIT
+}
+
+fn sure(waits: &[Wait]) -> impl Iterator<Item = f64> + '_ {
+    waits.iter().filter(|(_, votes)| *votes >= WAIT_VOTES / 8).map(|(usual, _)| *usual)
+}
+
+/// Votes for a usual wait, or against the weakest.
+fn note_wait(waits: &mut [Wait], share: f64, first: bool) {
+    // The rest after a first attempt that timed out is no habit, however often it comes.
+    let rest = sure(waits).any(|usual| like(share, 1.0 - usual));
+    if let Some((usual, votes)) = waits.iter_mut().find(|(usual, _)| like(share, *usual)) {
+        (*usual, *votes) = (usual.max(share), (*votes + 1).min(WAIT_VOTES));
+    } else if let Some(weak) = waits.iter_mut().min_by_key(|(_, votes)| *votes).filter(|_| first && !rest) {
+        *weak = if weak.1 == 0 { (share, 1) } else { (weak.0, weak.1 - 1) };
+    }
+}
+
+/// The share of its deadline that has passed for a try at least. Callers have a usual wait for a single
+/// attempt and one for a client's whole try, the longest, less what has passed of it. What is longer
+/// than all is the rest of the deadline, left to a client's last try.
+fn passed(waits: &[Wait], share: f64) -> f64 {
+    let longest = sure(waits).fold(share, f64::max);
+    // Only well after the first habit is known can a second no longer be mistaken for such a rest.
+    let known = waits.iter().any(|(_, votes)| *votes >= WAIT_VOTES / 2);
+    let whole = sure(waits).find(|usual| like(share, *usual));
+    let whole = whole.unwrap_or(if share < longest || !known { longest } else { 1.0 });
+    (whole - share).max(0.0)
+}
+
 impl Server {
     /// A server that has just started.
     pub fn new(now: Micros, set: Settings) -> Result<Server, BadSettings> {
@@ -220,7 +254,8 @@
             health: Health::default(),
             rates: vec![(0.0, now); set.tenants.len()],
             typical_use: 0.0,
-            habits: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            waits: Default::default(),
             leave: None,
             read_at: now + READ_EVERY,
             awake: false,
@@ -267,8 +302,6 @@
                 let end = now + grace.saturating_sub(self.set.answer_slack.max(3 * self.sweep()));
                 self.leave = Some((now, end));
                 self.all.values_mut().for_each(|r| r.due = r.due.min(end));
-                // Connections that carry nothing are not to wait for the end: their callers go elsewhere.
-                out.push(Action::CloseIdle(self.set.drain_grace));
             }
             Event::Timer(gauges) => {
                 self.awake = false;
@@ -285,8 +318,8 @@
         let reached = now.saturating_sub(a.queued);
         let mut due = a.waits.map_or((reached + class.deadline).max(now), |w| now + w);
         due = due.min(self.leave.map_or(due, |(_, end)| end));
-        let age = self.age(&a, &class, reached, now);
         self.meet(now, a.caller);
+        let age = self.age(&a, &class, reached, now);
         let again = a.retry || age as f64 > SAME_WAIT * class.deadline as f64;
         self.health.again = blend(Some(self.health.again), f64::from(u8::from(again)));
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
@@ -325,45 +358,20 @@
         }
     }
 
-    /// How old a try is at least. A caller has two usual waits, as shares of the deadline: one for a
-    /// single attempt, and what clients give a whole try, less what has passed of it. What is longer
-    /// than both is the rest of the deadline, left to a client's last try. Behind the first tier waits
-    /// tell nothing: each is what its caller's own request has left.
+    /// How old a try is at least, by its stated wait. Behind the first tier waits tell nothing: each is
+    /// what its caller's own request has left.
     fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
-        let Some(waits) = a.waits.map(|w| (now + w - reached) as f64) else { return 0 };
-        if self.set.tier > 0 {
-            return 0;
-        }
-        let share = waits / class.deadline as f64;
-        let (habits, _) = self.habits.entry(a.caller).or_insert(([(share, 0); 2], 0));
-        let like = |usual: f64| share < usual + SAME_WAIT / 4.0 && share > usual - SAME_WAIT;
-        // The rest after a first attempt that timed out is no habit, however often it comes.
-        let rest = habits.iter().any(|(usual, votes)| *votes >= HABIT_VOTES / 8 && like(1.0 - usual));
-        if let Some((usual, votes)) = habits.iter_mut().find(|(usual, _)| like(*usual)) {
-            (*usual, *votes) = (usual.max(share), (*votes + 1).min(HABIT_VOTES));
-        } else if let Some(weak) =
-            habits.iter_mut().min_by_key(|(_, votes)| *votes).filter(|_| !a.retry && !rest)
-        {
-            *weak = if weak.1 == 0 { (share, 1) } else { (weak.0, weak.1 - 1) };
-        }
-        let sure = habits.iter().filter(|(_, votes)| *votes >= HABIT_VOTES / 8).map(|(usual, _)| *usual);
-        let whole = sure.filter(|usual| share < usual + SAME_WAIT / 4.0).min_by(f64::total_cmp);
-        // Only well after the first habit is known can a second no longer be mistaken for such a rest.
-        let known = habits.iter().any(|(_, votes)| *votes >= HABIT_VOTES / 2);
-        let whole = whole.or(known.then_some(1.0)).unwrap_or(share);
-        ((whole - share).max(0.0) * class.deadline as f64) as Micros
-    }
-
-    /// Notes when a caller was here last; what is kept of callers gives way oldest first.
+        let Some(waits) = a.waits.filter(|_| self.set.tier == 0) else { return 0 };
+        let share = (now + waits - reached) as f64 / class.deadline as f64;
+        note_wait(&mut self.waits, share, !a.retry);
+        (passed(&self.waits, share) * class.deadline as f64) as Micros
+    }
+
+    /// Notes when a caller was here last, and whether it needed a new connection.
     fn meet(&mut self, now: Micros, caller: u64) {
-        let (_, seen) = self.habits.entry(caller).or_insert(([(1.0, 0); 2], 0));
-        let strange = self.set.connect_price > 0.0 && (*seen == 0 || *seen + self.idle < now);
-        *seen = now;
+        let here = self.callers.insert(caller, now).is_some_and(|seen| seen + self.idle >= now);
+        let strange = self.set.connect_price > 0.0 && !here;
         self.health.strangers = blend(Some(self.health.strangers), f64::from(u8::from(strange)));
-        if self.habits.len() > HABITS_KEPT {
-            let oldest = self.habits.iter().min_by_key(|(_, (_, seen))| *seen).map(|(&caller, _)| caller);
-            oldest.and_then(|caller| self.habits.remove(&caller));
-        }
     }
 
     /// Keeps the rate at which a tenant's requests are started, forgetting over some seconds.
@@ -397,10 +405,9 @@
     }
 
     fn set_stage(&mut self, id: &RequestId, from: Stage, to: Stage) {
-        if let Some(r) = self.names.get(id).and_then(|seq| self.all.get_mut(seq)) {
-            if r.stage == from {
-                r.stage = to;
-            }
+        let request = self.names.get(id).and_then(|seq| self.all.get_mut(seq));
+        if let Some(r) = request.filter(|r| r.stage == from) {
+            r.stage = to;
         }
     }
 
@@ -475,6 +482,7 @@
         }
         self.read_at = now + READ_EVERY;
         self.keys.retain(|_, end| *end > now);
+        self.callers.retain(|_, seen| *seen + self.set.idle_max > now);
         // Without new evidence the old fades: nothing stays marked bad for good.
         if !std::mem::take(&mut self.health.heard) {
             self.health.errors *= FADE;
@@ -570,12 +578,11 @@
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let (stay_away, unread) = (self.stay_away(), self.health.unread);
-        let expected = self.all.get(&seq).map_or(0.0, |r| self.expected(r));
         // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
         // no better, and all that they cost is read here once more.
         let jam = self.jam();
-        let over = self.all.get(&seq).is_some_and(|r| self.over_quota(now, r));
         let Some(r) = self.all.get(&seq) else { return };
+        let (over, expected) = (self.over_quota(now, r), self.expected(r));
         let id = r.id.clone();
         if r.stage == Stage::Held {
             // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
@@ -686,9 +693,9 @@
     fn close_idle(&mut self, open: f64, out: &mut Vec<Action>) {
         let useful = f64::from(self.set.cores) * self.set.crowd;
         let sooner = if open > useful { self.idle / 2 } else { self.idle };
-        let span = if open < useful / 2.0 { self.idle * 2 } else { sooner };
-        let span = span.max(READ_EVERY).min(self.set.idle_max);
-        if span != self.idle && self.leave.is_none() {
+        let span =
+            if open < useful / 2.0 { self.idle * 2 } else { sooner }.max(READ_EVERY).min(self.set.idle_max);
+        if span != self.idle {
             self.idle = span;
             out.push(Action::CloseIdle(span));
         }
