--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,13 +15,10 @@
 const LOOK_AHEAD: usize = 32;
 /// Under this reading of the cpu gauge free cores are to be filled (the design's figure).
 const BUSY: f64 = 0.8;
-/// Time between readings of the gauges: the cpu gauge looks back half a second, so a reading sooner
-/// would add cores again for starts that it does not show yet.
+/// Time between readings: the cpu gauge looks back so far, sooner it would not show the last starts yet.
 const READ_EVERY: Micros = 500_000;
 /// Time after which something that failed, or may fail, is tried again.
 const PROBE_EVERY: Micros = 100_000;
-/// Wanting a core, for each core, above which a flat limit steps back.
-const CROWDED: f64 = 1.25;
 /// Share of the survivable crowd, memory or calls that is made use of.
 const SAFE_SHARE: f64 = 0.85;
 /// Share of the expected run for which a request that can start at once must still have time.
@@ -41,6 +38,8 @@
 /// Shares of further tries and of new connections above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
 const STRANGE: f64 = 0.5;
+/// Share turned away of what is read above which new connections come in vain.
+const VAIN: f64 = 0.85;
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 const FORGET_BEST: f64 = 1.001;
@@ -148,6 +147,8 @@
     again: f64,
     /// Share of arrivals from callers that have not been here within the time that connections stay.
     strangers: f64,
+    /// Share of what was read that is turned away.
+    refused: f64,
     errors: f64,
     sick: bool,
     swamped: bool,
@@ -404,9 +405,12 @@
         self.worths.iter().filter(|&&w| w <= value).count()
     }
 
+    fn at(&mut self, id: &RequestId, stage: Stage) -> Option<&mut Request> {
+        self.names.get(id).and_then(|seq| self.all.get_mut(seq)).filter(|r| r.stage == stage)
+    }
+
     fn set_stage(&mut self, id: &RequestId, from: Stage, to: Stage) {
-        let request = self.names.get(id).and_then(|seq| self.all.get_mut(seq));
-        if let Some(r) = request.filter(|r| r.stage == from) {
+        if let Some(r) = self.at(id, from) {
             r.stage = to;
         }
     }
@@ -474,9 +478,7 @@
     }
 
     fn read(&mut self, now: Micros, gauges: Gauges, out: &mut Vec<Action>) {
-        if let Some(on_cores) = gauges.on_cores {
-            self.crowding = blend(Some(self.crowding), on_cores);
-        }
+        self.crowding = blend(Some(self.crowding), gauges.on_cores.unwrap_or(self.crowding));
         if now < self.read_at {
             return;
         }
@@ -500,7 +502,7 @@
         }
         let (running, cores) = (self.running(), self.set.cores as usize);
         let most = ((self.crowd(now) * SAFE_SHARE) as usize).max(cores);
-        let crowded = self.crowding > f64::from(self.set.cores) * CROWDED;
+        let crowded = self.crowding > f64::from(self.set.cores);
         let limit = &mut self.limit;
         // The gauge looks back: where more wants a core than there are, none is free, whatever it says.
         if gauges.cpu.unwrap_or(1.0) < BUSY && !crowded {
@@ -557,6 +559,7 @@
                 r.started = now;
                 let tenant = r.tenant;
                 out.push(Action::Admit(r.id.clone()));
+                self.health.refused = blend(Some(self.health.refused), 0.0);
                 self.count_tenant(now, tenant);
             }
         }
@@ -578,8 +581,6 @@
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let (stay_away, unread) = (self.stay_away(), self.health.unread);
-        // Where so many arrivals are further tries, refusals only bring them round again: elsewhere it is
-        // no better, and all that they cost is read here once more.
         let jam = self.jam();
         let Some(r) = self.all.get(&seq) else { return };
         let (over, expected) = (self.over_quota(now, r), self.expected(r));
@@ -590,6 +591,7 @@
             // Advice would keep the caller's other tenants away as well, and beyond the quota no other
             // server is to take it either.
             let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
+            self.health.refused = blend(Some(self.health.refused), 1.0);
             out.push(Action::Refuse { id, stay_away, terminal });
         } else {
             out.push(Action::Fail(id));
@@ -602,7 +604,8 @@
         self.let_go(seq, out);
     }
 
-    /// Whether refusals ask not to try elsewhere.
+    /// Whether refusals ask not to try elsewhere: where so many arrivals are further tries it is no better
+    /// there, and where most come over new connections each step of a walk costs one more.
     fn jam(&self) -> bool {
         self.health.again > JAM || self.health.strangers > STRANGE
     }
@@ -688,22 +691,23 @@
         }
     }
 
-    /// An open connection takes a part of the cores and a place that another caller may need: more than
-    /// the survivable crowd are of no use at once, so those that carried nothing longest are closed.
+    /// An open connection takes a part of the cores and a place that another caller may need: beyond half
+    /// the survivable crowd those idle longest are closed. Where nearly all that comes is turned away, new
+    /// ones come in vain, each at the cost of a connection and a reading: a full table keeps them out.
     fn close_idle(&mut self, open: f64, out: &mut Vec<Action>) {
-        let useful = f64::from(self.set.cores) * self.set.crowd;
+        let useful = f64::from(self.set.cores) * self.set.crowd / 2.0;
+        let keep = self.health.refused > VAIN || open < useful / 2.0;
         let sooner = if open > useful { self.idle / 2 } else { self.idle };
-        let span =
-            if open < useful / 2.0 { self.idle * 2 } else { sooner }.max(READ_EVERY).min(self.set.idle_max);
+        let span = if keep { self.idle * 2 } else { sooner };
+        let span = span.max(READ_EVERY).min(self.set.idle_max);
         if span != self.idle {
             self.idle = span;
             out.push(Action::CloseIdle(span));
         }
     }
 
-    /// Says whether callers should come. Not while sick, nor while what is read has waited unread so
-    /// long that no answer comes in time: then not even refusals reach their callers, and only a list
-    /// that leaves this server out lets it catch up.
+    /// Says whether callers should come: not while sick, nor while what is read has waited so long that no
+    /// answer, not even a refusal, comes in time; only a list that leaves it out lets a server catch up.
     fn tell_health(&mut self, out: &mut Vec<Action>) {
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
         self.health.swamped =
@@ -765,10 +769,7 @@
     }
 
     fn called(&mut self, now: Micros, id: &RequestId, outcome: Outcome, took: Micros) {
-        let Some(r) = self.names.get(id).and_then(|seq| self.all.get_mut(seq)) else { return };
-        if r.stage != Stage::Calling {
-            return;
-        }
+        let Some(r) = self.at(id, Stage::Calling) else { return };
         if outcome == Outcome::Ok {
             r.stage = Stage::Running;
             r.call_tries = 0;
