--- a/src/choice.rs
+++ b/src/choice.rs
@@ -565,13 +565,14 @@
         }
     }
 
-    /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on.
+    /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on. What runs
+    /// then goes on until it is due: failed, its client would ask for all of it again, and as late.
     fn answer_due(&mut self, now: Micros, out: &mut Vec<Action>) {
         let (sweep, classes) = (self.sweep(), &self.set.classes);
         let end = self.all.iter_mut().filter(|(_, r)| !r.over).filter_map(|(&seq, r)| {
-            let earns_late = classes[r.class].late_worth > 0.0;
-            r.late |= earns_late && now >= r.need;
-            (now + sweep > r.due || (now >= r.need && !earns_late)).then_some(seq)
+            r.late |= classes[r.class].late_worth > 0.0 && now >= r.need;
+            let goes_on = r.late || matches!(r.stage, Stage::Running | Stage::Joined);
+            (now + sweep > r.due || (now >= r.need && !goes_on)).then_some(seq)
         });
         for seq in end.collect::<Vec<_>>() {
             self.give_up(now, seq, out);
@@ -698,8 +699,7 @@
         let useful = f64::from(self.set.cores) * self.set.crowd / 2.0;
         let keep = self.health.refused > VAIN || open < useful / 2.0;
         let sooner = if open > useful { self.idle / 2 } else { self.idle };
-        let span = if keep { self.idle * 2 } else { sooner };
-        let span = span.max(READ_EVERY).min(self.set.idle_max);
+        let span = (if keep { self.idle * 2 } else { sooner }).max(READ_EVERY).min(self.set.idle_max);
         if span != self.idle {
             self.idle = span;
             out.push(Action::CloseIdle(span));
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -557,3 +557,16 @@
     assert_eq!(last_is_terminal(now + SEC, "known", 48), Some(false));
     assert_eq!(last_is_terminal(now + 40 * SEC, "away", 48), Some(true));
 }
+
+/// Guards against clients that ask again for work that was stopped as soon as its aim had passed.
+#[test]
+fn running_work_goes_on_past_its_aim_until_it_is_due() {
+    let mut server = server(settings());
+    let out = send(&mut server, 0, &[("long", 0)]);
+    assert_eq!(admitted(&out), ["long"]);
+    let past_aim = step(&mut server, 3 * SEC, vec![busy()]);
+    assert!(failed(&past_aim).is_empty(), "its aim was 2 s: {past_aim:?}");
+    let due = step(&mut server, 6 * SEC - MS, vec![busy()]);
+    assert_eq!(failed(&due), ["long"]);
+    assert!(due.contains(&Action::Halt(id("long"))));
+}
