--- a/src/choice.rs
+++ b/src/choice.rs
@@ -749,11 +749,10 @@
 
     /// Whether one more call keeps within this server's share of what the dependency survives.
     fn may_call(&self) -> bool {
-        if self.set.below != Below::Common {
-            return true;
-        }
+        let free = self.set.below != Below::Common;
         let share = self.set.call_share * SAFE_SHARE;
-        self.in_hand() as f64 + 1.0 <= share.min(self.calls.bound).max(1.0) && self.calls.mean <= share
+        let most = share.min(self.calls.bound).max(1.0);
+        free || (share > 0.0 && self.in_hand() as f64 + 1.0 <= most && self.calls.mean <= share)
     }
 
     /// A crowded dependency does less the more it holds, long before it falls: when calls take much
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -264,3 +264,36 @@
     let out = step(&mut server, SEC, vec![Event::Leave(5 * SEC)]);
     assert!(out.contains(&Action::Ready(false)), "{out:?}");
 }
+
+/// A share of 0 allows no call at all, not one; what can go on without does so, the rest is answered.
+#[test]
+fn a_share_of_none_makes_no_call() {
+    for skip_worth in [0.0, 0.5] {
+        let mut set = one_class(|c| (c.calls, c.skip_worth) = (true, skip_worth));
+        (set.below, set.call_share) = (Below::Common, 0.0);
+        let mut server = Server::new(0, set).expect("sound settings");
+        send(&mut server, 0, &[("a", 0)]);
+        let mut all = step(&mut server, MS, vec![Event::NeedsCall(id("a"))]);
+        all.extend(wait(&mut server, 20 * MS, 7 * SEC).into_iter().map(|(_, action)| action));
+        assert!(!all.iter().any(|a| matches!(a, Action::Call(_, _))), "{all:?}");
+        let skipped = all.contains(&Action::SkipCall(id("a")));
+        assert_eq!(skipped, skip_worth > 0.0);
+        assert_eq!(failed(&all), ["a"], "its run never ends here, so it is failed in time");
+    }
+}
+
+/// Two cores near the floor of the crowd, cold: the cores themselves may always run, and no more.
+#[test]
+fn two_cold_cores_with_the_least_crowd_run_no_more_than_they_survive() {
+    let mut set = settings();
+    (set.cold, set.crowd, set.cold_from) = (true, 1.5, 0.1);
+    let mut server = taught(set);
+    let names: Vec<String> = (0..20).map(|n| format!("r{n}")).collect();
+    let all: Vec<(&str, usize)> = names.iter().map(|n| (n.as_str(), 0)).collect();
+    let mut running = admitted(&send(&mut server, 0, &all)).len();
+    for reading in 1..6 {
+        running += admitted(&step(&mut server, reading * 500 * MS, vec![idle()])).len();
+    }
+    // 2 cores x (1 + 0.5 x 0.1) = 2.1 when just started, 2.4 after some seconds.
+    assert!((1..=2).contains(&running), "{running} run");
+}
