--- a/src/choice.rs
+++ b/src/choice.rs
@@ -660,7 +660,7 @@
             let takes = if place < free { run * START_AT } else { wait + run };
             let left = until as f64 - now as f64;
             let patience = 2.0 * PATIENCE * self.level(now, r) as f64 / self.worths.len() as f64;
-            let long = !r.known && !self.jam() && wait > (left - run) * patience;
+            let long = !r.known && self.health.strangers <= STRANGE && wait > (left - run) * patience;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else if place >= free {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -570,3 +570,18 @@
     assert_eq!(failed(&due), ["long"]);
     assert!(due.contains(&Action::Halt(id("long"))));
 }
+
+/// Guards against refusing early what no other server gets, at the price of a connection for its next try.
+#[test]
+fn strangers_may_wait_as_long_as_they_can_be_served_in_time() {
+    let (mut server, now) = warm(settings(), 600 * MS);
+    step(&mut server, now, vec![ended("run0", 600 * MS), ended("run1", 600 * MS)]);
+    for n in 0..12 {
+        step(&mut server, now, vec![stranger(n)]);
+        step(&mut server, now, vec![ended(&format!("s{n}"), 600 * MS)]);
+    }
+    send(&mut server, now, &[("a", 0), ("b", 1)]);
+    // They wait 0.3 s and 0.6 s of 1.4 s to spare; with known callers the second goes elsewhere.
+    let out = send(&mut server, now, &[("first", 0), ("second", 0)]);
+    assert!(refused(&out).is_empty(), "{out:?}");
+}
