--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -576,7 +576,7 @@
 fn strangers_may_wait_as_long_as_they_can_be_served_in_time() {
     let (mut server, now) = warm(settings(), 600 * MS);
     step(&mut server, now, vec![ended("run0", 600 * MS), ended("run1", 600 * MS)]);
-    for n in 0..12 {
+    for n in 0..30 {
         step(&mut server, now, vec![stranger(n)]);
         step(&mut server, now, vec![ended(&format!("s{n}"), 600 * MS)]);
     }
