--- a/src/choice.rs
+++ b/src/choice.rs
@@ -582,7 +582,8 @@
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let (stay_away, unread) = (self.stay_away(), self.health.unread);
-        let jam = self.jam();
+        // Elsewhere it is no better where so many are further tries, nor where each step costs a connection.
+        let jam = self.health.again > JAM || self.health.strangers > STRANGE;
         let Some(r) = self.all.get(&seq) else { return };
         let (over, expected) = (self.over_quota(now, r), self.expected(r));
         let id = r.id.clone();
@@ -605,12 +606,6 @@
         self.let_go(seq, out);
     }
 
-    /// Whether refusals ask not to try elsewhere: where so many arrivals are further tries it is no better
-    /// there, and where most come over new connections each step of a walk costs one more.
-    fn jam(&self) -> bool {
-        self.health.again > JAM || self.health.strangers > STRANGE
-    }
-
     /// Nobody waits for it any more: what has begun is stopped where that can be done.
     fn let_go(&mut self, seq: u64, out: &mut Vec<Action>) {
         let Some(r) = self.all.get_mut(&seq) else { return };
@@ -747,12 +742,17 @@
         self.calls.lingering.retain(|&end| end > now);
     }
 
-    /// Whether one more call keeps within this server's share of what the dependency survives.
-    fn may_call(&self) -> bool {
-        let free = self.set.below != Below::Common;
-        let share = self.set.call_share * SAFE_SHARE;
-        let most = share.min(self.calls.bound).max(1.0);
-        free || (share > 0.0 && self.in_hand() as f64 + 1.0 <= most && self.calls.mean <= share)
+    /// How long one more call may take within this server's share of what the dependency survives, 0: none.
+    /// A share under 1 is kept in the mean, half of it as old calls still count, though calls hang.
+    fn call_time(&self) -> Micros {
+        let (share, in_hand) = (self.set.call_share * SAFE_SHARE, self.in_hand() as f64);
+        let spare = (if share < 1.0 { share / 2.0 } else { share }) - self.calls.mean;
+        let room = spare > 0.0 && in_hand + 1.0 <= share.min(self.calls.bound).max(1.0);
+        if self.set.below != Below::Common || (room && share >= 1.0) {
+            return Micros::MAX;
+        }
+        let time = if room { spare * self.set.call_window as f64 } else { 0.0 };
+        (time as Micros).saturating_sub(self.set.call_linger)
     }
 
     /// A crowded dependency does less the more it holds, long before it falls: when calls take much
@@ -793,7 +793,7 @@
     }
 
     fn serve_call(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let may_call = self.may_call();
+        let time = self.call_time();
         let down = self.calls.failures >= CALL_TRIES && now < self.calls.probe_at;
         let typical = self.calls.typical.unwrap_or(0.0) as Micros;
         // After the call there is work to do yet.
@@ -809,13 +809,13 @@
             out.push(Action::SkipCall(r.id.clone()));
         } else if hopeless {
             self.give_up(now, seq, out);
-        } else if may_call && !down && matches!(r.stage, Stage::AtCall(from) if now >= from) {
+        } else if time > typical && !down && matches!(r.stage, Stage::AtCall(from) if now >= from) {
             r.stage = Stage::Calling;
             r.call_tries += 1;
             if self.calls.failures >= CALL_TRIES {
                 self.calls.probe_at = now + PROBE_EVERY;
             }
-            out.push(Action::Call(r.id.clone(), until));
+            out.push(Action::Call(r.id.clone(), until.min(now.saturating_add(time))));
         }
     }
 }
