--- /dev/null
+++ b/crates/server/src/lifecycle/config.rs
@@ -0,0 +1,117 @@
+//! The configuration that a server is given.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+use umberloom::interface::{Below, Effect, Settings, Signal};
+use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
+use umberloom_settings::{class_names, settings, GaugeNames};
+
+/// What the process may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Of a core.
+    pub cores: f64,
+    /// Bytes of memory.
+    pub memory: usize,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+/// Everything that a server is told.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where balancers connect.
+    pub listen: SocketAddr,
+    /// The render farm agent.
+    pub agent: SocketAddr,
+    /// The announce service.
+    pub announce: SocketAddr,
+    /// The records service; absent where nothing is called.
+    pub records: Option<SocketAddr>,
+    /// From the notice to drain to the end, in microseconds.
+    pub stop: u64,
+    /// What the process may take.
+    pub limits: Limits,
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of the classes, in their order.
+    pub classes: Vec<String>,
+    /// Names of the gauges, in their order.
+    pub gauges: GaugeNames,
+}
+
+impl Config {
+    /// Reads and checks the configuration in a file.
+    pub fn load(path: &Path) -> Result<Config, String> {
+        let place = |why: String| format!("configuration {}: {why}", path.display());
+        let bytes = std::fs::read(path).map_err(|e| place(e.to_string()))?;
+        Config::parse(&bytes).map_err(place)
+    }
+
+    /// Reads and checks a configuration.
+    pub fn parse(bytes: &[u8]) -> Read<Config> {
+        let value: Value = serde_json::from_slice(bytes).map_err(|e| format!("not JSON: {e}"))?;
+        let Value::Object(top) = value else { return Err("expected an object".into()) };
+        let options = object(&top, "settings")?;
+        let config = Config {
+            name: text(&top, "name")?.to_owned(),
+            listen: address(&top, "listen")?,
+            agent: address(&top, "agent")?,
+            announce: address(&top, "announce")?,
+            records: if top.contains_key("records") { Some(address(&top, "records")?) } else { None },
+            stop: whole(&top, "stop_ms")?.saturating_mul(1_000),
+            limits: limits(&top)?,
+            settings: settings(options, seed(&top)?)?,
+            classes: class_names(options)?,
+            gauges: GaugeNames::read(options)?,
+        };
+        config.check()?;
+        Ok(config)
+    }
+
+    /// Refuses what makes no sense, and what this protocol has no words for.
+    fn check(&self) -> Read<()> {
+        self.settings.check().map_err(|e| e.to_string())?;
+        let set = &self.settings;
+        let keyed = set.classes.iter().any(|c| c.effect == Effect::Keyed);
+        let named = |name: &String| !name.is_empty() && !name.contains('/');
+        let rules = [
+            (!keyed, "a class has repeats with a key, which FastCGI requests do not carry here"),
+            (set.tenants.is_empty(), "there are tenants, whom FastCGI requests do not name here"),
+            (set.signal == Signal::Silent, "callers want a free value, for which answers have no field here"),
+            (set.below != Below::NextTier, "there is a next tier, to which no address is configured"),
+            (
+                set.below == Below::Nothing || self.records.is_some(),
+                "calls are made, but `records` is absent",
+            ),
+            (self.classes.iter().all(named), "a class has no name, or one that is no part of a path"),
+            (!self.name.is_empty() && self.name.bytes().all(plain), "`name` is no part of a path"),
+            (self.limits.memory >= 16 << 20, "`limits.memory_mb` is under 16"),
+            (self.limits.sockets >= 32, "`limits.sockets` is under 32"),
+            (self.stop > 0, "`stop_ms` must be above 0"),
+        ];
+        rules.iter().find(|(holds, _)| !holds).map_or(Ok(()), |(_, why)| Err((*why).to_owned()))
+    }
+}
+
+fn plain(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.')
+}
+
+fn address(o: &Object, field: &str) -> Read<SocketAddr> {
+    text(o, field)?.parse().map_err(|_| format!("field `{field}`: expected an address and a port"))
+}
+
+fn seed(o: &Object) -> Read<u64> {
+    u64::from_str_radix(text(o, "seed")?, 16).map_err(|_| "field `seed`: expected hex digits".to_owned())
+}
+
+fn limits(o: &Object) -> Read<Limits> {
+    let o = object(o, "limits")?;
+    let memory = whole(o, "memory_mb")?.saturating_mul(1 << 20) as usize;
+    Ok(Limits { cores: number_or(o, "cores", 1.0)?, memory, sockets: whole_or(o, "sockets", 1024)? as usize })
+}
--- /dev/null
+++ b/crates/server/src/lifecycle/mod.rs
@@ -0,0 +1,170 @@
+//! From start to exit.
+
+pub mod clock;
+pub mod config;
+pub mod log;
+pub mod phase;
+pub mod signals;
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::Logger;
+use umberloom::Server;
+
+use crate::memory::budget::Budget;
+use crate::module::{self, Message, Module, Others};
+use crate::peers::agent::{self, Agent};
+use crate::peers::balancer::Shared;
+use crate::peers::front::{self, Front};
+use crate::peers::list::{self, List};
+use crate::peers::records::{self, Records};
+use clock::Clock;
+use config::Config;
+use phase::{Life, Phase};
+use signals::Notices;
+
+/// The share of the memory limit that peers can make this process take.
+const PEERS_SHARE: usize = 2;
+
+/// How descriptors are parted: what is kept for other peers than balancers, and calls at once.
+struct Parts {
+    connections: usize,
+    calls: usize,
+}
+
+impl Parts {
+    /// Balancers open up to half of the limit; of the rest a part is kept for the agent, the list, calls,
+    /// the log and what the executor itself needs.
+    fn of(sockets: usize) -> Parts {
+        let own = 24.min(sockets / 4);
+        let calls = 64.min(sockets / 8);
+        Parts { connections: sockets - own - calls, calls }
+    }
+}
+
+/// Serves until the program is told to end; an error comes before anything is served.
+pub fn serve(config: Config, log: Logger) -> Result<(), String> {
+    let mut life = Life::new(log.clone());
+    let listener = TcpListener::bind(config.listen).and_then(Async::new);
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let notices = Notices::new().map_err(|e| format!("signals: {e}"))?;
+    let clock = Clock::default();
+    let server = Server::new(clock.now(), config.settings.clone()).map_err(|e| e.to_string())?;
+    let executor = Rc::new(LocalExecutor::new());
+    life.enter(Phase::Waiting);
+    let program = Program::start(&executor, &config, listener, server, clock, &log);
+    async_io::block_on(executor.run(program.live(life, notices, config.stop)));
+    Ok(())
+}
+
+/// The running program, as the one who starts and ends it sees it.
+struct Program {
+    module: Sender<Message>,
+    front: Sender<front::Order>,
+    up: Receiver<()>,
+    connections: Task<()>,
+    clock: Clock,
+}
+
+impl Program {
+    fn start<'a>(
+        executor: &Rc<LocalExecutor<'a>>,
+        config: &Config,
+        listener: Async<TcpListener>,
+        server: Server,
+        clock: Clock,
+        log: &Logger,
+    ) -> Program {
+        let parts = Parts::of(config.limits.sockets);
+        let (module, mail) = bounded(module::MAILBOX);
+        let (agent, agent_orders) = bounded(agent::MAILBOX);
+        let (records, records_orders) = bounded(records::MAILBOX);
+        let (list, list_words) = bounded(list::MAILBOX);
+        let (front, front_orders) = bounded(front::MAILBOX);
+        let (up_told, up) = bounded(1);
+        let others = Others { agent, records, list, front: front.clone(), up: up_told };
+        let ticks = (config.settings.tick, config.gauges.clone());
+        executor.spawn(Module::new(server, ticks, mail, others, clock.clone(), log.clone()).run()).detach();
+        executor.spawn(Agent::new(config.agent, agent_orders, module.clone(), log.clone()).run()).detach();
+        executor.spawn(List::new(config.announce, &config.name, list_words, log.clone()).run()).detach();
+        if let Some(address) = config.records {
+            let to = (address, parts.calls);
+            let (own, clock) = (executor.clone(), clock.clone());
+            let records = Records::new(own, to, records_orders, module.clone(), clock, log.clone());
+            executor.spawn(records.run()).detach();
+        }
+        let shared = Shared {
+            module: module.clone(),
+            classes: Rc::new(config.classes.clone()),
+            budget: Budget::new(config.limits.memory / PEERS_SHARE),
+            clock: clock.clone(),
+            log: log.clone(),
+        };
+        let from = (listener, parts.connections);
+        let idle = config.settings.idle_max;
+        let connections =
+            executor.spawn(Front::new(executor.clone(), from, shared, front_orders, idle).run());
+        Program { module, front, up, connections, clock }
+    }
+
+    /// Passes through the phases up to the end.
+    async fn live(self, mut life: Life, mut notices: Notices, stop: u64) {
+        enum Next {
+            Up,
+            Notice,
+            Time,
+            Empty,
+        }
+        let Program { module, front, up, mut connections, clock } = self;
+        while life.phase() != Phase::Ended {
+            let at = life.next_at();
+            let is_up = async {
+                match up.recv().await {
+                    Ok(()) => Next::Up,
+                    Err(_) => future::pending().await,
+                }
+            };
+            let notice = async {
+                notices.next().await;
+                Next::Notice
+            };
+            let time = async {
+                match at {
+                    Some(at) => {
+                        let left = at.saturating_sub(clock.now());
+                        Timer::after(Duration::from_micros(left)).await;
+                    }
+                    None => future::pending().await,
+                }
+                Next::Time
+            };
+            let empty = async {
+                (&mut connections).await;
+                Next::Empty
+            };
+            match future::or(is_up, future::or(notice, future::or(time, empty))).await {
+                Next::Up => life.enter(Phase::Serving),
+                Next::Notice => {
+                    if life.leave(clock.now(), stop) {
+                        let _ = module.send(Message::Leave(stop)).await;
+                    }
+                }
+                Next::Time => {
+                    if life.pass(clock.now()) && life.phase() == Phase::Closing {
+                        let _ = front.send(front::Order::Finish).await;
+                    }
+                }
+                Next::Empty => life.enter(Phase::Ended),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/lifecycle/phase.rs
@@ -0,0 +1,119 @@
+//! The program's phases, from start to exit.
+
+use std::fmt;
+
+use slog::{info, Logger};
+use umberloom::interface::Micros;
+
+/// Where the program is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// The configuration is read, nothing is served.
+    Starting,
+    /// Balancers may connect; the render farm agent is not up yet.
+    Waiting,
+    /// Requests are served.
+    Serving,
+    /// Notice to drain has come: all that arrives is still answered.
+    Leaving,
+    /// Nothing new is let in; connections close as their requests are answered.
+    Closing,
+    /// All is done.
+    Ended,
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// The phase a program is in, with the moments that the later ones depend on.
+pub struct Life {
+    phase: Phase,
+    /// When the process is stopped, once that is known.
+    stop: Option<Micros>,
+    log: Logger,
+}
+
+/// Before the stop, nothing new is let in for so long.
+const CLOSE_BEFORE: Micros = 350_000;
+/// Before the stop, the process has ended for so long.
+const END_BEFORE: Micros = 15_000;
+
+impl Life {
+    /// A program that starts.
+    pub fn new(log: Logger) -> Life {
+        Life { phase: Phase::Starting, stop: None, log }
+    }
+
+    /// Goes on to a later phase; an earlier one is passed over.
+    pub fn enter(&mut self, phase: Phase) {
+        if phase > self.phase {
+            info!(self.log, "phase"; "from" => %self.phase, "to" => %phase);
+            self.phase = phase;
+        }
+    }
+
+    /// Notice to drain: the process is stopped `span` from now. Only the first counts.
+    pub fn leave(&mut self, now: Micros, span: Micros) -> bool {
+        let first = self.stop.is_none();
+        if first {
+            self.stop = Some(now + span);
+            self.enter(Phase::Leaving);
+        }
+        first
+    }
+
+    /// When the next phase begins by itself.
+    pub fn next_at(&self) -> Option<Micros> {
+        let stop = self.stop?;
+        match self.phase {
+            Phase::Leaving => Some(stop.saturating_sub(CLOSE_BEFORE)),
+            Phase::Closing => Some(stop.saturating_sub(END_BEFORE)),
+            _ => None,
+        }
+    }
+
+    /// Goes on to the next phase if its time has come; tells whether it did.
+    pub fn pass(&mut self, now: Micros) -> bool {
+        let due = self.next_at().is_some_and(|at| now >= at);
+        if due {
+            self.enter(if self.phase == Phase::Leaving { Phase::Closing } else { Phase::Ended });
+        }
+        due
+    }
+
+    /// The phase.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn phases_follow_each_other_and_the_notice_counts_once() {
+        let mut life = Life::new(Logger::root(slog::Discard, slog::o!()));
+        assert_eq!((life.phase(), life.next_at()), (Phase::Starting, None));
+        life.enter(Phase::Serving);
+        life.enter(Phase::Waiting);
+        assert_eq!(life.phase(), Phase::Serving);
+        assert!(life.leave(1_000_000, 3_000_000) && !life.leave(2_000_000, 9_000_000));
+        assert_eq!(life.next_at(), Some(4_000_000 - CLOSE_BEFORE));
+        assert!(!life.pass(3_000_000) && life.pass(3_700_000));
+        assert_eq!((life.phase(), life.next_at()), (Phase::Closing, Some(4_000_000 - END_BEFORE)));
+        assert!(life.pass(4_000_000));
+        assert_eq!((life.phase(), life.next_at()), (Phase::Ended, None));
+    }
+
+    #[test]
+    fn a_notice_shorter_than_the_margins_closes_at_once() {
+        let mut life = Life::new(Logger::root(slog::Discard, slog::o!()));
+        life.leave(1_000_000, 5_000);
+        assert!(life.pass(1_000_000) && life.pass(1_000_000));
+        assert_eq!(life.phase(), Phase::Ended);
+    }
+}
--- /dev/null
+++ b/crates/server/src/memory/mod.rs
@@ -0,0 +1,5 @@
+//! What is kept in memory: open requests, kept keys and results, and the bound on all of it.
+
+pub mod budget;
+pub mod keys;
+pub mod open;
--- /dev/null
+++ b/crates/server/src/module.rs
@@ -0,0 +1,558 @@
+//! The actor that owns the decisions: the only caller of `step`, and the only owner of each request's
+//! state.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use slog::{debug, error, Logger};
+use std::time::Duration;
+use umberloom::interface::{Action, Arrival, Event, Gauges, Micros, Outcome, RequestId};
+use umberloom::Server;
+use umberloom_settings::GaugeNames;
+
+use crate::lifecycle::clock::Clock;
+use crate::memory::budget::Charge;
+use crate::memory::keys::{Keys, Subject};
+use crate::memory::open::{Call, Open, Run, Table};
+use crate::peers::balancer::ReplyTo;
+use crate::peers::journal::Order;
+use crate::peers::{front, records};
+use crate::wire::cgi::{Answer, Work};
+use crate::wire::jsonl::RunEnd;
+
+/// Messages that may wait to be taken.
+pub const MAILBOX: usize = 1024;
+/// Messages taken into one step at most.
+const AT_ONCE: usize = 4 * MAILBOX;
+/// How long a timer waits for its gauges.
+const GAUGE_WAIT: Micros = 10_000;
+/// How long a deep health check may take, and how many may be under way.
+const CHECK_WAIT: Micros = 5_000_000;
+const CHECKS: usize = 64;
+
+/// A request that has come whole and makes sense.
+#[derive(Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// What it asks for.
+    pub work: Work,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Where its answer goes.
+    pub reply_to: ReplyTo,
+    /// The memory that it takes.
+    pub charge: Charge,
+}
+
+/// A health check.
+#[derive(Debug)]
+pub struct Check {
+    /// Whether it wants to know that work gets done.
+    pub full: bool,
+    /// Where its answer goes.
+    pub reply_to: ReplyTo,
+}
+
+/// What the module's mailbox takes.
+#[derive(Debug)]
+pub enum Message {
+    /// A request has come.
+    Request(Box<Request>),
+    /// A health check has come.
+    Check(Check),
+    /// Nobody waits for this request any more.
+    Gone(RequestId),
+    /// The agent is up.
+    Greeted,
+    /// The link to the agent is lost.
+    LinkLost,
+    /// A run is over.
+    Outcome(String, RunEnd, Micros),
+    /// A run waits for a call.
+    NeedsCall(String, u64, Vec<u8>),
+    /// Gauges, as asked for under this tag.
+    Sampled(u64, Vec<f64>),
+    /// End of the work of a deep health check.
+    Exercised(u64, bool),
+    /// The agent did not carry out this command about this request.
+    AgentRefused(String, String),
+    /// A call is over, with the body of a good reply.
+    Called(RequestId, Outcome, Micros, Vec<u8>),
+    /// Notice to drain: the process is stopped after this span.
+    Leave(Micros),
+}
+
+/// The mailboxes of the others.
+pub struct Others {
+    /// The agent's link.
+    pub agent: Sender<Order>,
+    /// The records service.
+    pub records: Sender<records::Order>,
+    /// The list.
+    pub list: Sender<bool>,
+    /// The front.
+    pub front: Sender<front::Order>,
+    /// Told once the agent is up.
+    pub up: Sender<()>,
+}
+
+/// The actor.
+pub struct Module {
+    server: Server,
+    tick: Micros,
+    gauges: GaugeNames,
+    mail: Receiver<Message>,
+    others: Others,
+    clock: Clock,
+    log: Logger,
+    open: Table,
+    keys: Keys,
+    events: Vec<Event>,
+    /// Events for the step after the present one.
+    later: VecDeque<Event>,
+    wake_at: Option<Micros>,
+    /// The sample whose answer the timer waits for, and until when.
+    sample: Option<(u64, Micros)>,
+    tag: u64,
+    checks: BTreeMap<u64, (Micros, ReplyTo)>,
+    ready: Option<bool>,
+    greeted: bool,
+}
+
+impl Module {
+    /// Hosts `server`, which has just started.
+    pub fn new(
+        server: Server,
+        (tick, gauges): (Micros, GaugeNames),
+        mail: Receiver<Message>,
+        others: Others,
+        clock: Clock,
+        log: Logger,
+    ) -> Module {
+        let (open, keys) = (Table::default(), Keys::default());
+        let (events, later) = (Vec::new(), VecDeque::new());
+        let (wake_at, sample, checks) = (None, None, BTreeMap::new());
+        let (tag, ready, greeted) = (0, None, false);
+        Module {
+            server,
+            tick,
+            gauges,
+            mail,
+            others,
+            clock,
+            log,
+            open,
+            keys,
+            events,
+            later,
+            wake_at,
+            sample,
+            tag,
+            checks,
+            ready,
+            greeted,
+        }
+    }
+
+    /// Decides for as long as anyone may send messages.
+    pub async fn run(mut self) {
+        // A server that has just started may have something to do before anything happens.
+        self.step();
+        loop {
+            let before = self.clock.now();
+            if !self.wait().await {
+                return;
+            }
+            if self.events.is_empty() {
+                continue;
+            }
+            self.step();
+            let spent = self.clock.now().saturating_sub(before);
+            if spent < self.tick {
+                Timer::after(Duration::from_micros(self.tick - spent)).await;
+            }
+        }
+    }
+
+    /// Waits for the next message or moment, and takes in all that has come; `false` at the end.
+    async fn wait(&mut self) -> bool {
+        let now = self.clock.now();
+        let moments = [self.wake_at, self.sample.map(|(_, until)| until), self.check_end()];
+        let next = moments.into_iter().flatten().min();
+        let next = if self.later.is_empty() { next } else { Some(now) };
+        let moment = async {
+            match next {
+                Some(at) => drop(Timer::after(Duration::from_micros(at.saturating_sub(now))).await),
+                None => future::pending().await,
+            }
+            Ok(None)
+        };
+        let mail = async { self.mail.recv().await.map(Some) };
+        let Ok(first) = future::or(mail, moment).await else { return false };
+        self.events.extend(self.later.drain(..));
+        let now = self.clock.now();
+        first.into_iter().for_each(|m| self.take(now, m));
+        for _ in 0..AT_ONCE {
+            let Ok(message) = self.mail.try_recv() else { break };
+            self.take(now, message);
+        }
+        self.pass_time(now);
+        true
+    }
+
+    fn check_end(&self) -> Option<Micros> {
+        self.checks.values().map(|(until, _)| *until).min()
+    }
+
+    /// What is due by now. After a standstill each thing comes once.
+    fn pass_time(&mut self, now: Micros) {
+        if self.wake_at.is_some_and(|at| now >= at) {
+            self.wake_at = None;
+            self.keys.expire(now);
+            self.tag += 1;
+            self.sample = Some((self.tag, now + GAUGE_WAIT));
+            self.order(Order::Sample(self.tag));
+        }
+        if self.sample.is_some_and(|(_, until)| now >= until) {
+            self.sample = None;
+            self.events.push(Event::Timer(Gauges::default()));
+        }
+        while let Some(check) = self.checks.first_entry().filter(|e| now >= e.get().0) {
+            check.remove().1.answer(Answer::Health(false));
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let events = std::mem::take(&mut self.events);
+        self.server.step(now, events, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(now, action));
+    }
+
+    fn take(&mut self, now: Micros, message: Message) {
+        match message {
+            Message::Request(request) => self.arrived(now, *request),
+            Message::Check(check) => self.check(now, check),
+            Message::Gone(id) => self.gone(&id),
+            Message::Greeted => self.greet(),
+            Message::LinkLost => self.link_lost(),
+            Message::Outcome(id, end, took) => self.ended(&id, end, took),
+            Message::NeedsCall(id, seq, body) => self.needs_call(&id, seq, body),
+            Message::Sampled(tag, values) => self.sampled(tag, values),
+            Message::Exercised(tag, fine) => {
+                if let Some((_, reply_to)) = self.checks.remove(&tag) {
+                    reply_to.answer(Answer::Health(fine));
+                }
+            }
+            Message::AgentRefused(command, id) => self.agent_refused(&command, &id),
+            Message::Called(id, outcome, took, body) => self.called(id, outcome, took, body),
+            Message::Leave(span) => self.events.push(Event::Leave(span)),
+        }
+    }
+
+    fn subject(&self, class: usize, work: &Work) -> Option<Subject> {
+        work.key.clone().map(|key| (class, key))
+    }
+
+    fn arrived(&mut self, now: Micros, request: Request) {
+        let Request { id, class, work, body, reply_to, charge } = request;
+        let repeats = self.subject(class, &work).and_then(|s| self.keys.find(&s, now));
+        let arrival = Arrival {
+            id: id.clone(),
+            class,
+            tenant: 0,
+            caller: work.sender,
+            // Time in socket buffers counts: the caller's wait began when the request reached the machine.
+            waits: Some(work.waits(now)),
+            queued: now.saturating_sub(work.received),
+            held_kb: work.held_kb,
+            rank: work.rank,
+            cost: None,
+            repeats,
+            retry: false,
+        };
+        let open = Open {
+            id,
+            class,
+            work,
+            body,
+            reply_to: Some(reply_to),
+            run: Run::None,
+            halting: false,
+            call: None,
+            joins: arrival.repeats.clone(),
+            _charge: charge,
+        };
+        match self.open.insert(Box::new(open)) {
+            Ok(()) => self.events.push(Event::Arrived(arrival)),
+            // A name that is in use: to give it to the module would mix the two up.
+            Err(open) => {
+                let _ = open.reply_to.map(|to| to.answer(Answer::Senseless));
+            }
+        }
+    }
+
+    fn gone(&mut self, id: &str) {
+        let Some(open) = self.open.get(id) else { return };
+        open.reply_to = None;
+        let id = open.id.clone();
+        self.stop_call(&id);
+        self.events.push(Event::Gone(id.clone()));
+        self.sweep(&id);
+    }
+
+    fn greet(&mut self) {
+        if !self.greeted {
+            self.greeted = true;
+            let _ = self.others.up.try_send(());
+            let _ = self.others.list.try_send(self.ready.unwrap_or(true));
+        }
+    }
+
+    /// Answers to questions asked on the lost link will not come.
+    fn link_lost(&mut self) {
+        for (_, reply_to) in std::mem::take(&mut self.checks).into_values() {
+            reply_to.answer(Answer::Health(false));
+        }
+    }
+
+    fn check(&mut self, now: Micros, check: Check) {
+        match self.ready {
+            _ if !self.greeted => check.reply_to.answer(Answer::Health(false)),
+            Some(word) => check.reply_to.answer(Answer::Health(word)),
+            None if !check.full => check.reply_to.answer(Answer::Health(true)),
+            None if self.checks.len() >= CHECKS => check.reply_to.answer(Answer::Health(false)),
+            None => {
+                self.tag += 1;
+                self.checks.insert(self.tag, (now + CHECK_WAIT, check.reply_to));
+                self.order(Order::Exercise(self.tag));
+            }
+        }
+    }
+
+    fn sampled(&mut self, tag: u64, values: Vec<f64>) {
+        if self.sample.is_some_and(|(wanted, _)| wanted == tag) {
+            self.sample = None;
+            self.events.push(Event::Timer(self.gauges.gauges(values)));
+        }
+    }
+
+    fn ended(&mut self, id: &str, end: RunEnd, took: Micros) {
+        let Some(open) = self.open.get(id) else { return };
+        let (id, asked) = (open.id.clone(), open.halting);
+        let outcome = match end {
+            RunEnd::Fine(result) => {
+                self.answered_well(&id, result);
+                Outcome::Ok
+            }
+            RunEnd::Fault => Outcome::Error,
+            RunEnd::BrokenOff => Outcome::Stopped,
+            RunEnd::Late => Outcome::Moot,
+        };
+        self.stop_call(&id);
+        if let Some(open) = self.open.get(&id) {
+            open.halting = false;
+            // A stop that we asked for leaves the request in our hands, unless it is answered.
+            let halted = outcome == Outcome::Stopped && asked && open.reply_to.is_some();
+            open.run = if halted { Run::Halted } else { Run::None };
+            if !halted {
+                // A run that was ended by others, or failed, still owes its answer.
+                self.answer(&id, Answer::Failed);
+            }
+        }
+        self.events.push(Event::Ended(id.clone(), outcome, took));
+        if !matches!(outcome, Outcome::Ok | Outcome::Stopped) {
+            self.end_joined(&id, None, took);
+        }
+        self.sweep(&id);
+    }
+
+    fn answered_well(&mut self, id: &RequestId, result: Vec<u8>) {
+        if let Some(open) = self.open.get(id) {
+            if let Some(key) = open.work.key.clone() {
+                self.keys.add_result(&(open.class, key), id, &result);
+            }
+        }
+        self.end_joined(id, Some(&result), 0);
+        self.answer(id, Answer::Served(result));
+    }
+
+    /// Answers the requests that wait for the result of this one.
+    fn end_joined(&mut self, id: &RequestId, result: Option<&[u8]>, took: Micros) {
+        for joined in self.open.joined_to(id) {
+            let (answer, outcome) = match result {
+                Some(result) => (Answer::Served(result.to_vec()), Outcome::Ok),
+                None => (Answer::Failed, Outcome::Error),
+            };
+            self.answer(&joined, answer);
+            self.later.push_back(Event::Ended(joined.clone(), outcome, took));
+            self.sweep(&joined);
+        }
+    }
+
+    fn needs_call(&mut self, id: &str, seq: u64, body: Vec<u8>) {
+        let Some(open) = self.open.get(id) else { return };
+        open.call = Some(Call { seq, body, under_way: false });
+        self.events.push(Event::NeedsCall(open.id.clone()));
+    }
+
+    fn agent_refused(&mut self, command: &str, id: &str) {
+        let Some(open) = self.open.get(id).filter(|_| command != "freeze") else { return };
+        let id = open.id.clone();
+        open.run = Run::None;
+        self.stop_call(&id);
+        self.answer(&id, Answer::Failed);
+        self.events.push(Event::Ended(id.clone(), Outcome::Error, 0));
+        self.sweep(&id);
+    }
+
+    fn called(&mut self, id: RequestId, outcome: Outcome, took: Micros, body: Vec<u8>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let Some(call) = open.call.as_mut().filter(|c| c.under_way) else { return };
+        call.under_way = false;
+        if outcome == Outcome::Ok {
+            open.call = None;
+            self.order(Order::Deliver(id.clone(), body));
+        }
+        self.events.push(Event::Called(id, outcome, took));
+    }
+
+    /// Gives the final answer, unless one was given.
+    fn answer(&mut self, id: &str, answer: Answer) {
+        if let Some(reply_to) = self.open.get(id).and_then(|open| open.reply_to.take()) {
+            reply_to.answer(answer);
+        }
+    }
+
+    /// A call that nobody waits for any more is given up.
+    fn stop_call(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id) else { return };
+        if open.call.take().is_some_and(|call| call.under_way) {
+            let _ = self.others.records.try_send(records::Order::GiveUp(id.clone()));
+        }
+    }
+
+    /// Forgets a request of which nothing is left.
+    fn sweep(&mut self, id: &str) {
+        if self.open.get(id).is_some_and(|o| o.reply_to.is_none() && o.run != Run::Going) {
+            self.open.remove(id);
+        }
+    }
+
+    fn order(&mut self, order: Order) {
+        // The mailbox takes far more than the open requests can need; the agent's actor never waits.
+        if let Err(e) = self.others.agent.try_send(order) {
+            error!(self.log, "order lost"; "why" => %e);
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Admit(id) => self.admit(&id),
+            Action::Halt(id) => self.halt(&id),
+            Action::Refuse { id, stay_away, terminal } => {
+                let begun = self.open.get(&id).is_some_and(|open| open.run != Run::None);
+                // What has run may have had its effect: its failure is never a refusal.
+                let refused = Answer::Refused { stay_away, terminal };
+                self.finish(&id, if begun { Answer::Failed } else { refused });
+            }
+            Action::Fail(id) => self.finish(&id, Answer::Failed),
+            Action::Call(id, until) => self.call(&id, until),
+            Action::SkipCall(id) => self.skip_call(&id),
+            Action::Keep(id, span) => self.keep(&id, now + span),
+            Action::Forget(id) => self.forget(&id),
+            Action::Join(id) => self.join(&id),
+            Action::Ready(word) => {
+                self.ready = Some(word);
+                if self.greeted {
+                    let _ = self.others.list.try_send(word);
+                }
+            }
+            Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
+            Action::CloseIdle(span) => drop(self.others.front.try_send(front::Order::CloseIdle(span))),
+            Action::Wake(span) => self.wake_at = Some(now + span),
+            Action::Log(text) => debug!(self.log, "module"; "says" => text),
+        }
+    }
+
+    fn admit(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id) else { return };
+        if open.reply_to.is_none() && open.run != Run::Going {
+            self.later.push_back(Event::Ended(id.clone(), Outcome::Moot, 0));
+            return;
+        }
+        let order = match open.run {
+            Run::Going => return,
+            Run::Halted => Order::Thaw(id.clone()),
+            Run::None => Order::Launch(id.clone(), open.work.class.clone(), open.body.clone()),
+        };
+        open.run = Run::Going;
+        self.order(order);
+    }
+
+    fn halt(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id).filter(|o| o.run == Run::Going) else { return };
+        open.halting = true;
+        self.order(Order::Freeze(id.clone()));
+    }
+
+    fn finish(&mut self, id: &RequestId, answer: Answer) {
+        self.answer(id, answer);
+        self.stop_call(id);
+        self.sweep(id);
+    }
+
+    fn call(&mut self, id: &RequestId, until: Micros) {
+        let Some(open) = self.open.get(id) else { return };
+        let Some(call) = open.call.as_mut() else { return };
+        call.under_way = true;
+        let order = records::Order::Call(id.clone(), call.body.clone(), until);
+        if self.others.records.try_send(order).is_err() {
+            call.under_way = false;
+            self.later.push_back(Event::Called(id.clone(), Outcome::Unreachable, 0));
+        }
+    }
+
+    fn skip_call(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id) else { return };
+        let Some(call) = open.call.take() else { return };
+        if call.under_way {
+            let _ = self.others.records.try_send(records::Order::GiveUp(id.clone()));
+        }
+        self.order(Order::Forgo(id.clone(), call.seq));
+    }
+
+    fn keep(&mut self, id: &RequestId, until: Micros) {
+        let Some(open) = self.open.get(id) else { return };
+        if let Some(key) = open.work.key.clone() {
+            self.keys.keep((open.class, key), id.clone(), until);
+        }
+    }
+
+    fn forget(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id) else { return };
+        if let Some(key) = open.work.key.clone() {
+            self.keys.forget(&(open.class, key), id);
+        }
+    }
+
+    /// The result may be there already; else the request waits for it.
+    fn join(&mut self, id: &RequestId) {
+        let Some(other) = self.open.get(id).and_then(|open| open.joins.clone()) else { return };
+        let result = self.keys.result(&other).map(<[u8]>::to_vec);
+        if result.is_none() && self.open.get(&other).is_some() {
+            return;
+        }
+        let (answer, outcome) =
+            result.map_or((Answer::Failed, Outcome::Error), |r| (Answer::Served(r), Outcome::Ok));
+        self.answer(id, answer);
+        self.later.push_back(Event::Ended(id.clone(), outcome, 0));
+        self.sweep(id);
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/agent.rs
@@ -0,0 +1,188 @@
+//! The link to the render farm agent.
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::{debug, info, warn, Logger};
+
+use super::journal::{Journal, Order};
+use super::stream::{self, Got};
+use crate::module::Message;
+use crate::wire::buffer::Buffer;
+use crate::wire::jsonl::{self, Command, Notice};
+use crate::wire::Malformed;
+
+/// Orders that may wait to be taken.
+pub const MAILBOX: usize = 4096;
+/// Bytes written at once.
+const BATCH: usize = 32 * 1024;
+/// Time between tries to connect.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// The actor.
+pub struct Agent {
+    address: SocketAddr,
+    orders: Receiver<Order>,
+    module: Sender<Message>,
+    journal: Journal,
+    /// Number of the last notice that was read.
+    last: u64,
+    log: Logger,
+}
+
+/// One link.
+struct Link {
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+    out: Vec<u8>,
+    greeted: bool,
+}
+
+/// Why a link is over.
+enum Broken {
+    Lost(std::io::Error),
+    Ended,
+    Malformed(Malformed),
+    /// The module is gone: so is the program.
+    Alone,
+}
+
+impl Agent {
+    /// A link that is not made yet.
+    pub fn new(address: SocketAddr, orders: Receiver<Order>, module: Sender<Message>, log: Logger) -> Agent {
+        Agent { address, orders, module, journal: Journal::default(), last: 0, log }
+    }
+
+    /// Keeps a link up for as long as the module is there.
+    pub async fn run(mut self) {
+        loop {
+            match Async::<TcpStream>::connect(self.address).await {
+                Ok(stream) => {
+                    let _ = stream.get_ref().set_nodelay(true);
+                    match self.link(stream).await {
+                        Broken::Alone => return,
+                        Broken::Lost(e) => warn!(self.log, "agent link lost"; "why" => %e),
+                        Broken::Ended => warn!(self.log, "agent link ended by the agent"),
+                        Broken::Malformed(e) => warn!(self.log, "agent link closed"; "why" => %e),
+                    }
+                    if self.module.send(Message::LinkLost).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) => debug!(self.log, "agent not reached"; "why" => %e),
+            }
+            Timer::after(RETRY).await;
+        }
+    }
+
+    async fn link(&mut self, stream: Async<TcpStream>) -> Broken {
+        let subscribe = Command::Subscribe { seq: self.last }.line();
+        let buffer = Buffer::new(jsonl::LONGEST);
+        let mut link = Link { stream, buffer, out: subscribe, greeted: false };
+        loop {
+            if let Err(why) = self.turn(&mut link).await {
+                return why;
+            }
+        }
+    }
+
+    /// Writes what is to be written, reads what has come, or waits for either.
+    async fn turn(&mut self, link: &mut Link) -> Result<(), Broken> {
+        while self.journal.len() < MAILBOX {
+            let Ok(order) = self.orders.try_recv() else { break };
+            self.journal.add(&order);
+        }
+        if link.greeted && link.out.is_empty() {
+            link.out = self.journal.take(BATCH);
+        }
+        let written = stream::write(&link.stream, &link.out).map_err(Broken::Lost)?;
+        link.out.drain(..written);
+        match stream::read(&link.stream, &mut link.buffer).map_err(Broken::Lost)? {
+            Got::Bytes(_) => return self.lines(link).await,
+            Got::End => return Err(Broken::Ended),
+            Got::Nothing => {}
+        }
+        if written > 0 {
+            return Ok(());
+        }
+        let full = self.journal.len() >= MAILBOX;
+        let order = async {
+            if full {
+                return future::pending().await;
+            }
+            let order = self.orders.recv().await.map_err(|_| Broken::Alone)?;
+            Ok(Some(order))
+        };
+        let readable = async { link.stream.readable().await.map(|()| None).map_err(Broken::Lost) };
+        let writable = async {
+            if link.out.is_empty() {
+                return future::pending().await;
+            }
+            link.stream.writable().await.map(|()| None).map_err(Broken::Lost)
+        };
+        if let Some(order) = future::or(readable, future::or(writable, order)).await? {
+            self.journal.add(&order);
+        }
+        Ok(())
+    }
+
+    async fn lines(&mut self, link: &mut Link) -> Result<(), Broken> {
+        while let Some(end) = link.buffer.unread().iter().position(|&b| b == b'\n') {
+            let read = jsonl::notice(&link.buffer.unread()[..end]);
+            link.buffer.consume(end + 1);
+            let (notice, number) = read.map_err(Broken::Malformed)?;
+            if notice == Notice::Greeting && !link.greeted {
+                link.greeted = true;
+                self.journal.restart();
+            }
+            if number.is_some_and(|n| n <= self.last) {
+                continue;
+            }
+            if let Some(n) = number {
+                if n > self.last + 1 {
+                    warn!(self.log, "notices were missed"; "last" => self.last, "next" => n);
+                }
+                self.last = n;
+            }
+            self.heed(notice).await?;
+        }
+        if link.buffer.is_full() {
+            return Err(Broken::Malformed(Malformed("a line too long")));
+        }
+        Ok(())
+    }
+
+    async fn heed(&mut self, notice: Notice) -> Result<(), Broken> {
+        let message = match notice {
+            Notice::Greeting => {
+                info!(self.log, "agent is up");
+                Message::Greeted
+            }
+            Notice::Outcome(id, end, took) => {
+                self.journal.ended(&id);
+                Message::Outcome(id, end, took)
+            }
+            Notice::Request(id, seq, body) => {
+                self.journal.waits(&id);
+                Message::NeedsCall(id, seq, body)
+            }
+            Notice::Sampled(name, values) => match self.journal.answered(&name) {
+                Some(tag) => Message::Sampled(tag, values),
+                None => return Ok(()),
+            },
+            Notice::Exercised(name, fine) => match self.journal.exercised(&name) {
+                Some(tag) => Message::Exercised(tag, fine),
+                None => return Ok(()),
+            },
+            Notice::Refusal(command, id) => {
+                warn!(self.log, "agent refused"; "command" => &command, "request" => &id);
+                Message::AgentRefused(command, id)
+            }
+            Notice::Aside => return Ok(()),
+        };
+        self.module.send(message).await.map_err(|_| Broken::Alone)
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/balancer.rs
@@ -0,0 +1,375 @@
+//! A balancer's connection.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::{debug, warn, Logger};
+use umberloom::interface::{Micros, RequestId};
+
+use super::stream::{self, Got};
+use crate::lifecycle::clock::Clock;
+use crate::memory::budget::{Budget, Charge};
+use crate::module::{Check, Message, Request};
+use crate::wire::buffer::Buffer;
+use crate::wire::cgi::{self, Answer, Ask};
+use crate::wire::fastcgi::{self, Status};
+use crate::wire::responder::{Incoming, Responder, OPEN};
+
+/// Messages that may wait: an answer for each open request, and words of the front.
+const MAILBOX: usize = 2 * OPEN;
+/// Beyond this much to be written nothing more is read.
+const UNWRITTEN: usize = 256 * 1024;
+/// A peer that takes nothing for so long, or leaves a request half sent, is closed.
+const STALLED: Duration = Duration::from_secs(30);
+/// After our end of the stream, the peer has this long to end its own.
+const LINGER: Duration = Duration::from_millis(500);
+/// What an open request takes besides its body: its fields, and its result when it comes.
+const PER_REQUEST: usize = 6 * 1024;
+
+/// What a connection is told.
+#[derive(Debug)]
+pub enum Word {
+    /// The answer to a request.
+    Answer(u16, u64, Answer),
+    /// Close if nothing is open.
+    CloseIfIdle,
+    /// Close as soon as nothing is open.
+    Finish,
+}
+
+/// Where the answer to one request goes.
+#[derive(Clone, Debug)]
+pub struct ReplyTo {
+    to: Sender<Word>,
+    slot: u16,
+    /// Tells this request from a later one under the same number.
+    serial: u64,
+}
+
+impl ReplyTo {
+    /// Gives the answer. There is room for one for each open request; a connection that is gone has
+    /// nobody left to hear it.
+    pub fn answer(&self, answer: Answer) {
+        let _ = self.to.try_send(Word::Answer(self.slot, self.serial, answer));
+    }
+}
+
+/// What the front sees of a connection.
+#[derive(Debug, Default)]
+pub struct Activity {
+    /// When it last carried something.
+    pub last: Cell<Micros>,
+    /// Requests open on it.
+    pub open: Cell<usize>,
+}
+
+/// What all connections share.
+#[derive(Clone)]
+pub struct Shared {
+    /// The module's mailbox.
+    pub module: Sender<Message>,
+    /// Names of the classes, in their order.
+    pub classes: Rc<Vec<String>>,
+    /// The bound on memory.
+    pub budget: Budget,
+    /// The clock.
+    pub clock: Clock,
+    /// The log.
+    pub log: Logger,
+}
+
+/// An open request, and its name if the module knows it.
+struct Pending {
+    serial: u64,
+    id: Option<RequestId>,
+}
+
+/// The actor of one connection.
+pub struct Connection {
+    stream: Async<TcpStream>,
+    shared: Shared,
+    activity: Rc<Activity>,
+    words: Receiver<Word>,
+    me: Sender<Word>,
+    buffer: Buffer,
+    responder: Responder,
+    pending: BTreeMap<u16, Pending>,
+    serial: u64,
+    charge: Charge,
+    written: usize,
+    /// The peer sends no more, or nothing of use.
+    deaf: bool,
+    finishing: bool,
+    progress: Micros,
+}
+
+impl Connection {
+    /// A connection that was just accepted, with its mailbox; `None` if there is no memory for it.
+    pub fn new(
+        stream: Async<TcpStream>,
+        shared: Shared,
+        activity: Rc<Activity>,
+    ) -> Option<(Connection, Sender<Word>)> {
+        let (me, words) = async_channel::bounded(MAILBOX);
+        let charge = shared.budget.take(0)?;
+        let progress = shared.clock.now();
+        activity.last.set(progress);
+        let connection = Connection {
+            stream,
+            shared,
+            activity,
+            words,
+            me: me.clone(),
+            buffer: Buffer::new(fastcgi::LARGEST),
+            responder: Responder::default(),
+            pending: BTreeMap::new(),
+            serial: 0,
+            charge,
+            written: 0,
+            deaf: false,
+            finishing: false,
+            progress,
+        };
+        Some((connection, me))
+    }
+
+    /// Serves the connection until it is over.
+    pub async fn run(mut self) {
+        let ended = loop {
+            match self.turn().await {
+                Ok(false) => {}
+                Ok(true) => break Ok(()),
+                Err(e) => break Err(e),
+            }
+        };
+        match ended {
+            Ok(()) => self.end().await,
+            Err(e) => debug!(self.shared.log, "connection lost"; "why" => %e),
+        }
+        // Nobody is left to hear the answers of what is still open.
+        for id in std::mem::take(&mut self.pending).into_values().filter_map(|p| p.id) {
+            if self.shared.module.send(Message::Gone(id)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// One round of writing, reading and waiting; `true` when the connection is to be closed.
+    async fn turn(&mut self) -> std::io::Result<bool> {
+        while let Ok(word) = self.words.try_recv() {
+            self.heed(word);
+        }
+        self.write()?;
+        let mut busy = false;
+        if self.reads() {
+            match stream::read(&self.stream, &mut self.buffer)? {
+                Got::Bytes(_) => {
+                    self.touch();
+                    self.take().await;
+                    busy = true;
+                }
+                Got::End => self.hear_no_more(),
+                Got::Nothing => {}
+            }
+        }
+        self.account();
+        if self.is_over(busy) {
+            return Ok(true);
+        }
+        if busy {
+            future::yield_now().await;
+            return Ok(false);
+        }
+        self.wait().await
+    }
+
+    fn reads(&self) -> bool {
+        !self.deaf && self.unwritten() < UNWRITTEN
+    }
+
+    fn unwritten(&self) -> usize {
+        self.responder.out.len() - self.written
+    }
+
+    fn is_over(&self, busy: bool) -> bool {
+        let done = self.responder.whole() == 0 && self.unwritten() == 0;
+        let quiet = !busy && self.responder.open() == 0 && self.buffer.unread().is_empty();
+        done && (self.deaf || self.responder.is_last() || (self.finishing && quiet))
+    }
+
+    fn touch(&mut self) {
+        self.progress = self.shared.clock.now();
+        self.activity.last.set(self.progress);
+    }
+
+    fn hear_no_more(&mut self) {
+        self.deaf = true;
+        self.responder.drop_partial();
+    }
+
+    /// Books the memory that the connection takes; without room for it, it is of no more use.
+    fn account(&mut self) {
+        let size = self.buffer.size() + self.responder.held() + self.responder.out.capacity();
+        if !self.charge.resize(size) && !self.deaf {
+            warn!(self.shared.log, "no memory for a connection"; "bytes" => size);
+            self.hear_no_more();
+        }
+        self.activity.open.set(self.responder.open());
+    }
+
+    fn write(&mut self) -> std::io::Result<()> {
+        let n = stream::write(&self.stream, &self.responder.out[self.written..])?;
+        self.written += n;
+        if n > 0 {
+            self.touch();
+        }
+        if self.written == self.responder.out.len() {
+            self.written = 0;
+            self.responder.out.clear();
+            self.responder.out.shrink_to(8 * 1024);
+        }
+        Ok(())
+    }
+
+    /// Waits until there is something to do.
+    async fn wait(&mut self) -> std::io::Result<bool> {
+        enum Next {
+            Word(Word),
+            Ready,
+            Stalled,
+        }
+        let word = async { Ok(self.words.recv().await.map_or(Next::Ready, Next::Word)) };
+        let readable = async {
+            if !self.reads() {
+                return future::pending().await;
+            }
+            self.stream.readable().await.map(|()| Next::Ready)
+        };
+        let writable = async {
+            if self.unwritten() == 0 {
+                return future::pending().await;
+            }
+            self.stream.writable().await.map(|()| Next::Ready)
+        };
+        let half_sent = self.responder.open() > self.responder.whole() || !self.buffer.unread().is_empty();
+        let stalled = async {
+            if self.unwritten() == 0 && !half_sent {
+                return future::pending().await;
+            }
+            Timer::after(STALLED).await;
+            Ok(Next::Stalled)
+        };
+        match future::or(word, future::or(readable, future::or(writable, stalled))).await? {
+            Next::Word(word) => self.heed(word),
+            Next::Ready => {}
+            Next::Stalled if self.unwritten() > 0 => return Err(std::io::ErrorKind::TimedOut.into()),
+            Next::Stalled => self.hear_no_more(),
+        }
+        Ok(false)
+    }
+
+    fn heed(&mut self, word: Word) {
+        match word {
+            Word::Answer(slot, serial, answer) => self.answer(slot, serial, &answer),
+            Word::CloseIfIdle => self.finishing |= self.responder.open() == 0,
+            Word::Finish => self.finishing = true,
+        }
+    }
+
+    fn answer(&mut self, slot: u16, serial: u64, answer: &Answer) {
+        if self.pending.get(&slot).is_some_and(|p| p.serial == serial) {
+            self.pending.remove(&slot);
+            self.responder.answer(slot, &answer.encode());
+        }
+    }
+
+    /// Takes all whole records off the buffer.
+    async fn take(&mut self) {
+        loop {
+            match self.responder.take(self.buffer.unread()) {
+                Ok((0, _)) => return,
+                Ok((used, news)) => {
+                    self.buffer.consume(used);
+                    if let Some(news) = news {
+                        self.pass(news).await;
+                    }
+                }
+                Err(why) => {
+                    warn!(self.shared.log, "connection closed"; "why" => %why);
+                    self.buffer.consume(usize::MAX);
+                    return self.hear_no_more();
+                }
+            }
+        }
+    }
+
+    async fn pass(&mut self, news: Incoming) {
+        let message = match news {
+            Incoming::Abort(slot) => self.pending.remove(&slot).and_then(|p| p.id).map(Message::Gone),
+            Incoming::Request { slot, params, body, too_long } => {
+                self.serial += 1;
+                self.pending.insert(slot, Pending { serial: self.serial, id: None });
+                self.read_request(slot, &params, body, too_long)
+            }
+        };
+        if let Some(message) = message {
+            // The module is gone only when the program ends.
+            let _ = self.shared.module.send(message).await;
+        }
+    }
+
+    /// The message for the module, unless the request is answered here: one that can't be understood, or
+    /// for which there is no memory.
+    fn read_request(&mut self, slot: u16, params: &[u8], body: Vec<u8>, too_long: bool) -> Option<Message> {
+        let serial = self.serial;
+        let reply_to = ReplyTo { to: self.me.clone(), slot, serial };
+        let asked = if too_long { Err("a request too long") } else { cgi::ask(params) };
+        let work = match asked {
+            Ok(Ask::Health(full)) => return Some(Message::Check(Check { full, reply_to })),
+            Ok(Ask::Work(work)) => work,
+            Err(why) => {
+                debug!(self.shared.log, "a request without sense"; "why" => why);
+                self.answer(slot, serial, &Answer::Senseless);
+                return None;
+            }
+        };
+        let Some(class) = self.shared.classes.iter().position(|name| *name == work.class) else {
+            debug!(self.shared.log, "a request of no known class"; "class" => &work.class);
+            self.answer(slot, serial, &Answer::Senseless);
+            return None;
+        };
+        let Some(charge) = self.shared.budget.take(params.len() + body.len() + PER_REQUEST) else {
+            self.pending.remove(&slot);
+            self.responder.turn_away(slot, Status::Overloaded);
+            return None;
+        };
+        let id: RequestId = work.id.as_str().into();
+        self.pending.insert(slot, Pending { serial, id: Some(id.clone()) });
+        Some(Message::Request(Box::new(Request { id, class, work, body, reply_to, charge })))
+    }
+
+    /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
+    /// close with bytes unread would be a reset that may overtake an answer.
+    async fn end(&mut self) {
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+        let stream = &self.stream;
+        let drained = stream::within(LINGER, async {
+            let mut sink = Buffer::new(4 * 1024);
+            while let Ok(got) = stream::read(stream, &mut sink) {
+                match got {
+                    Got::Bytes(n) => sink.consume(n),
+                    Got::End => return,
+                    Got::Nothing if stream.readable().await.is_err() => return,
+                    Got::Nothing => {}
+                }
+            }
+        });
+        drained.await;
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/journal.rs
@@ -0,0 +1,260 @@
+//! Orders to the agent that it is not known to have read: what makes a new link go on where the last
+//! one broke.
+
+use std::collections::VecDeque;
+
+use umberloom::interface::RequestId;
+
+use crate::wire::jsonl::{base64, Command};
+
+/// Something the agent is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Run a request of this class with this body.
+    Launch(RequestId, String, Vec<u8>),
+    /// Stop its run.
+    Freeze(RequestId),
+    /// Go on with its run.
+    Thaw(RequestId),
+    /// The reply to the call that its run waits for.
+    Deliver(RequestId, Vec<u8>),
+    /// Go on without the call that this notice asked for.
+    Forgo(RequestId, u64),
+    /// Ask for the gauges.
+    Sample(u64),
+    /// Do the work of a deep health check.
+    Exercise(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Begins or stops a run.
+    Run,
+    Freeze,
+    /// Answers a call.
+    Reply,
+    /// Asked for on one link only.
+    Question,
+    /// A sample that the journal itself asks for, to mark the end of what was missed.
+    Mark,
+}
+
+#[derive(Debug)]
+struct Entry {
+    number: u64,
+    kind: Kind,
+    id: RequestId,
+    /// The tag under which a question was asked.
+    tag: u64,
+    line: Vec<u8>,
+}
+
+/// Orders in the order given, those written on the present link first.
+#[derive(Debug, Default)]
+pub struct Journal {
+    entries: VecDeque<Entry>,
+    written: usize,
+    next: u64,
+    /// On a new link, the sample whose answer says that all missed notices are in.
+    mark: Option<u64>,
+}
+
+impl Journal {
+    /// Adds an order.
+    pub fn add(&mut self, order: &Order) {
+        let number = self.next + 1;
+        let name = number.to_string();
+        let none: RequestId = "".into();
+        let (kind, id, tag, command) = match order {
+            Order::Launch(id, class, body) => {
+                (Kind::Run, id, 0, Command::Launch { id, class, body: base64(body) })
+            }
+            Order::Freeze(id) => (Kind::Freeze, id, 0, Command::Freeze { id }),
+            Order::Thaw(id) => (Kind::Run, id, 0, Command::Thaw { id }),
+            Order::Deliver(id, body) => (Kind::Reply, id, 0, Command::Deliver { id, body: base64(body) }),
+            Order::Forgo(id, seq) => (Kind::Reply, id, 0, Command::Forgo { id, seq: *seq }),
+            Order::Sample(tag) => (Kind::Question, &none, *tag, Command::Sample { tag: &name }),
+            Order::Exercise(tag) => (Kind::Question, &none, *tag, Command::Exercise { tag: &name }),
+        };
+        let unwritten = || self.entries.iter().skip(self.written);
+        if kind == Kind::Freeze && unwritten().any(|e| e.kind == kind && e.id == *id) {
+            // Stops are asked for again and again; without a link they must not pile up.
+            return;
+        }
+        self.next = number;
+        let entry = Entry { number, kind, id: id.clone(), tag, line: command.line() };
+        self.entries.push_back(entry);
+    }
+
+    /// Lines to write next, as many as fit in `most` bytes but at least one if there is any.
+    pub fn take(&mut self, most: usize) -> Vec<u8> {
+        let mut out = Vec::new();
+        while let Some(entry) = self.entries.get(self.written) {
+            let waits = self.mark.is_some_and(|mark| entry.number != mark);
+            if waits || (!out.is_empty() && out.len() + entry.line.len() > most) {
+                break;
+            }
+            out.extend_from_slice(&entry.line);
+            self.written += 1;
+        }
+        out
+    }
+
+    /// A new link has been greeted: nothing is known to have been read of what was written on the last
+    /// one. Until the answer to a sample marks the end of the missed notices, nothing else is written:
+    /// a run that ended meanwhile must not be started again.
+    pub fn restart(&mut self) {
+        self.entries.retain(|e| !matches!(e.kind, Kind::Question | Kind::Mark));
+        self.written = 0;
+        self.next += 1;
+        let name = self.next.to_string();
+        let line = Command::Sample { tag: &name }.line();
+        let entry = Entry { number: self.next, kind: Kind::Mark, id: "".into(), tag: 0, line };
+        self.entries.push_front(entry);
+        self.mark = Some(self.next);
+    }
+
+    /// The answer to question `name` came: all written before it has been read. The tag it was asked
+    /// under, if the module asked.
+    pub fn answered(&mut self, name: &str) -> Option<u64> {
+        let number: u64 = name.parse().ok()?;
+        let written = self.entries.iter().take(self.written);
+        let at = written.enumerate().find(|(_, e)| e.number == number).map(|(at, _)| at)?;
+        if self.mark == Some(number) {
+            self.mark = None;
+        }
+        let asked = self.entries.get(at).filter(|e| e.kind == Kind::Question).map(|e| e.tag);
+        self.entries.drain(..=at);
+        self.written -= at + 1;
+        asked
+    }
+
+    /// The answer to question `name` came, which was carried out out of turn.
+    pub fn exercised(&mut self, name: &str) -> Option<u64> {
+        let number: u64 = name.parse().ok()?;
+        let at = self.entries.iter().take(self.written).position(|e| e.number == number)?;
+        self.remove(at).map(|e| e.tag)
+    }
+
+    /// The run of this request is over: no order about it matters any more.
+    pub fn ended(&mut self, id: &str) {
+        self.forget(|e| &*e.id == id);
+    }
+
+    /// The run of this request waits for a call: replies to earlier ones have been read.
+    pub fn waits(&mut self, id: &str) {
+        self.forget(|e| e.kind == Kind::Reply && &*e.id == id);
+    }
+
+    /// How many orders there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn forget(&mut self, which: impl Fn(&Entry) -> bool) {
+        for at in (0..self.entries.len()).rev() {
+            if which(&self.entries[at]) {
+                self.remove(at);
+            }
+        }
+    }
+
+    fn remove(&mut self, at: usize) -> Option<Entry> {
+        self.written -= usize::from(at < self.written);
+        self.entries.remove(at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ops(bytes: &[u8]) -> Vec<String> {
+        let text = std::str::from_utf8(bytes).expect("text");
+        let op = |line: &str| {
+            let value: serde_json::Value = serde_json::from_str(line).expect("json");
+            format!("{} {}", value["op"].as_str().expect("op"), value["id"].as_str().unwrap_or(""))
+        };
+        text.lines().map(op).collect()
+    }
+
+    fn launch(id: &str) -> Order {
+        Order::Launch(id.into(), "c".into(), vec![1])
+    }
+
+    /// A journal on a link that has caught up.
+    fn linked() -> Journal {
+        let mut journal = Journal::default();
+        journal.restart();
+        assert_eq!(ops(&journal.take(9_999)), ["sample "]);
+        assert_eq!(journal.answered("1"), None);
+        journal
+    }
+
+    #[test]
+    fn orders_are_written_once_and_in_order() {
+        let mut journal = linked();
+        journal.add(&launch("a"));
+        journal.add(&Order::Sample(40));
+        journal.add(&Order::Freeze("a".into()));
+        assert_eq!(ops(&journal.take(1)), ["launch a"]);
+        assert_eq!(ops(&journal.take(9_999)), ["sample ", "freeze a"]);
+        assert_eq!(journal.take(9_999), b"");
+        assert_eq!((journal.answered("3"), journal.len()), (Some(40), 1));
+        assert_eq!(journal.answered("3"), None);
+    }
+
+    #[test]
+    fn a_new_link_restates_what_may_not_have_been_read() {
+        let mut journal = linked();
+        journal.add(&launch("read"));
+        journal.add(&Order::Sample(1));
+        journal.add(&launch("ended"));
+        journal.add(&launch("a"));
+        journal.add(&Order::Deliver("b".into(), vec![]));
+        journal.take(9_999);
+        journal.answered("3");
+        journal.add(&launch("later"));
+        journal.restart();
+        assert_eq!(ops(&journal.take(9_999)), ["sample "]);
+        // Missed notices come before the answer: one run has ended, one has asked for its next call.
+        journal.ended("ended");
+        journal.waits("b");
+        assert_eq!(journal.take(9_999), b"");
+        assert_eq!(journal.answered("8"), None);
+        assert_eq!(ops(&journal.take(9_999)), ["launch a", "launch later"]);
+    }
+
+    #[test]
+    fn questions_of_a_lost_link_are_not_asked_again() {
+        let mut journal = linked();
+        journal.add(&Order::Sample(5));
+        journal.add(&Order::Exercise(6));
+        journal.take(9_999);
+        journal.restart();
+        journal.restart();
+        assert_eq!(journal.len(), 1);
+        assert_eq!(journal.answered("2"), None);
+        assert_eq!(ops(&journal.take(9_999)), ["sample "]);
+    }
+
+    #[test]
+    fn an_exercise_does_not_vouch_for_what_was_written_before() {
+        let mut journal = linked();
+        journal.add(&launch("a"));
+        journal.add(&Order::Exercise(6));
+        journal.take(9_999);
+        assert_eq!((journal.exercised("3"), journal.len()), (Some(6), 1));
+        assert_eq!(journal.exercised("nonsense"), None);
+    }
+
+    #[test]
+    fn stops_do_not_pile_up_without_a_link() {
+        let mut journal = linked();
+        journal.restart();
+        for _ in 0..100 {
+            journal.add(&Order::Freeze("a".into()));
+        }
+        assert_eq!(journal.len(), 2);
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/records.rs
@@ -0,0 +1,211 @@
+//! Calls to the records service: one at a time on a connection, over a few connections kept open.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use slog::{debug, Logger};
+use umberloom::interface::{Micros, Outcome, RequestId};
+
+use super::stream::{self, Got};
+use crate::lifecycle::clock::Clock;
+use crate::module::Message;
+use crate::wire::buffer::Buffer;
+use crate::wire::http::{self, Reply};
+
+/// Orders that may wait to be taken.
+pub const MAILBOX: usize = 4096;
+const PATH: &str = "/records/op";
+/// An idle connection is not used after this: the service closes it after 10 s.
+const IDLE: Duration = Duration::from_secs(5);
+/// Idle connections that are kept.
+const POOL: usize = 16;
+
+/// What the module wants.
+#[derive(Debug)]
+pub enum Order {
+    /// Make a call with this body, to be given up at the stated time.
+    Call(RequestId, Vec<u8>, Micros),
+    /// Nobody waits for the call of this request any more.
+    GiveUp(RequestId),
+}
+
+/// Connections that stand idle, the one used last at the end.
+type Pool = Rc<RefCell<VecDeque<(Instant, Async<TcpStream>)>>>;
+
+/// The actor.
+pub struct Records<'a> {
+    executor: Rc<LocalExecutor<'a>>,
+    address: SocketAddr,
+    /// Calls at once, so that descriptors last.
+    most: usize,
+    orders: Receiver<Order>,
+    module: Sender<Message>,
+    clock: Clock,
+    log: Logger,
+    pool: Pool,
+    calls: BTreeMap<RequestId, Task<()>>,
+}
+
+impl<'a> Records<'a> {
+    /// Calls to `address`, at most `most` at once.
+    pub fn new(
+        executor: Rc<LocalExecutor<'a>>,
+        (address, most): (SocketAddr, usize),
+        orders: Receiver<Order>,
+        module: Sender<Message>,
+        clock: Clock,
+        log: Logger,
+    ) -> Records<'a> {
+        let (pool, calls) = (Pool::default(), BTreeMap::new());
+        Records { executor, address, most, orders, module, clock, log, pool, calls }
+    }
+
+    /// Makes calls for as long as the module is there.
+    pub async fn run(mut self) {
+        while let Ok(order) = self.orders.recv().await {
+            self.calls.retain(|_, task| !task.is_finished());
+            self.retire();
+            match order {
+                Order::Call(id, body, until) => {
+                    // A second call for a request gives up the first: dropping it closes its connection.
+                    self.calls.remove(&id);
+                    if self.calls.len() >= self.most {
+                        debug!(self.log, "too many calls at once"; "request" => &*id);
+                        let refused = Message::Called(id, Outcome::Refused, 0, Vec::new());
+                        if self.module.send(refused).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
+                    let call = self.call(id.clone(), body, until);
+                    self.calls.insert(id, self.executor.spawn(call));
+                }
+                Order::GiveUp(id) => drop(self.calls.remove(&id)),
+            }
+        }
+    }
+
+    fn retire(&self) {
+        self.pool.borrow_mut().retain(|(since, _)| since.elapsed() < IDLE);
+    }
+
+    fn call(
+        &self,
+        id: RequestId,
+        body: Vec<u8>,
+        until: Micros,
+    ) -> impl std::future::Future<Output = ()> + 'a {
+        let (address, pool) = (self.address, self.pool.clone());
+        let (module, clock) = (self.module.clone(), self.clock.clone());
+        async move {
+            let from = clock.now();
+            let span = Duration::from_micros(until.saturating_sub(from));
+            let (outcome, reply) = one(address, &pool, &id, &body, span).await;
+            let took = clock.now() - from;
+            let _ = module.send(Message::Called(id, outcome, took, reply)).await;
+        }
+    }
+}
+
+/// Makes one call and tells how it ended, with the body of a good reply.
+async fn one(address: SocketAddr, pool: &Pool, id: &str, body: &[u8], span: Duration) -> (Outcome, Vec<u8>) {
+    let before = Instant::now();
+    let stream = match idle(pool) {
+        Some(stream) => stream,
+        None => match stream::within(span, Async::<TcpStream>::connect(address)).await {
+            Some(Ok(stream)) => stream,
+            // Nothing was written, so nothing ran.
+            Some(Err(_)) | None => return (Outcome::Unreachable, Vec::new()),
+        },
+    };
+    let _ = stream.get_ref().set_nodelay(true);
+    let left = span.saturating_sub(before.elapsed());
+    let wait = left.as_millis().max(1).to_string();
+    let headers = [("Op-Of", id), ("Op-Wait-Ms", &wait)];
+    let request = http::request("POST", PATH, &address.to_string(), &headers, body);
+    match stream::within(left, exchange(&stream, &request)).await {
+        // Given up: dropping the stream closes the connection.
+        None => (Outcome::TimedOut, Vec::new()),
+        Some(Err(_)) => (Outcome::Cut, Vec::new()),
+        Some(Ok(reply)) => {
+            if reply.keep && pool.borrow().len() < POOL {
+                pool.borrow_mut().push_back((Instant::now(), stream));
+            }
+            (outcome(&reply), reply.body)
+        }
+    }
+}
+
+/// An idle connection that is still good.
+fn idle(pool: &Pool) -> Option<Async<TcpStream>> {
+    loop {
+        let (since, stream) = pool.borrow_mut().pop_back()?;
+        if since.elapsed() < IDLE && stream::is_silent(&stream) {
+            return Some(stream);
+        }
+    }
+}
+
+/// One request and its reply.
+pub async fn exchange(stream: &Async<TcpStream>, request: &[u8]) -> std::io::Result<Reply> {
+    stream::write_all(stream, request).await?;
+    let mut buffer = Buffer::new(http::HEAD + 2 * http::BODY);
+    loop {
+        let ended = match stream::read(stream, &mut buffer)? {
+            Got::Bytes(_) => false,
+            Got::End => true,
+            Got::Nothing => {
+                stream.readable().await?;
+                continue;
+            }
+        };
+        match http::reply(buffer.unread(), ended) {
+            Ok(Some(reply)) => {
+                let clean = reply.size == buffer.unread().len() && !ended;
+                return Ok(Reply { keep: reply.keep && clean, ..reply });
+            }
+            Ok(None) if ended || buffer.is_full() => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(None) => {}
+            Err(_) => return Err(ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+/// What a reply says about the call. Only a mark proves that it never ran.
+fn outcome(reply: &Reply) -> Outcome {
+    let not_begun = reply.header("op-not-begun") == Some("1");
+    match reply.status {
+        200 => Outcome::Ok,
+        503 if not_begun => Outcome::Refused,
+        409 if not_begun => Outcome::Moot,
+        504 => Outcome::TimedOut,
+        _ => Outcome::Error,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_mark_proves_that_a_call_never_ran() {
+        let read = |text: &str| {
+            let bytes = format!("HTTP/1.1 {text}\r\nContent-Length: 0\r\n\r\n");
+            outcome(&http::reply(bytes.as_bytes(), false).expect("sound").expect("whole"))
+        };
+        assert_eq!(read("200 OK"), Outcome::Ok);
+        assert_eq!(read("503 No\r\nOp-Not-Begun: 1"), Outcome::Refused);
+        assert_eq!(read("409 No\r\nOp-Not-Begun: 1"), Outcome::Moot);
+        assert_eq!(read("504 Late"), Outcome::TimedOut);
+        for text in ["500 Error", "503 No", "409 No", "404 What", "503 No\r\nOp-Not-Begun: 0"] {
+            assert!(!read(text).never_ran(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/stream.rs
@@ -0,0 +1,79 @@
+//! Reading and writing a stream a step at a time, never waiting.
+
+use std::future::Future;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+
+use crate::wire::buffer::Buffer;
+
+/// What a read came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// So many bytes.
+    Bytes(usize),
+    /// Nothing for now.
+    Nothing,
+    /// The peer will send no more.
+    End,
+}
+
+/// Reads once into a buffer that has room.
+pub fn read(stream: &Async<TcpStream>, buffer: &mut Buffer) -> io::Result<Got> {
+    loop {
+        match stream.get_ref().read(buffer.space()) {
+            Ok(0) => return Ok(Got::End),
+            Ok(n) => {
+                buffer.filled(n);
+                return Ok(Got::Bytes(n));
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Got::Nothing),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Writes as much as goes without waiting; how many bytes that were.
+pub fn write(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
+    let mut done = 0;
+    while done < bytes.len() {
+        match stream.get_ref().write(&bytes[done..]) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => done += n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(done)
+}
+
+/// Writes all of it, waiting as needed.
+pub async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    loop {
+        bytes = &bytes[write(stream, bytes)?..];
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        stream.writable().await?;
+    }
+}
+
+/// What `work` comes to, unless it takes longer. After a standstill work that has ended meanwhile counts.
+pub async fn within<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
+    future::or(async { Some(work.await) }, async {
+        Timer::after(span).await;
+        None
+    })
+    .await
+}
+
+/// Whether a connection that should be silent still is: neither ended nor with anything to read.
+pub fn is_silent(stream: &Async<TcpStream>) -> bool {
+    let mut byte = [0];
+    matches!(stream.get_ref().peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/crates/server/src/wire/buffer.rs
@@ -0,0 +1,121 @@
+//! The one buffer of a connection: it grows as it needs and is compacted in place.
+
+/// Smallest size to which a buffer grows, and back to which an empty one shrinks.
+const LEAST: usize = 2 * 1024;
+
+/// Bytes that were read and not yet used up.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    from: usize,
+    to: usize,
+    most: usize,
+}
+
+impl Buffer {
+    /// An empty buffer that holds at most `most` bytes; it takes no memory yet.
+    pub fn new(most: usize) -> Buffer {
+        Buffer { bytes: Vec::new(), from: 0, to: 0, most }
+    }
+
+    /// What is there.
+    pub fn unread(&self) -> &[u8] {
+        &self.bytes[self.from..self.to]
+    }
+
+    /// Takes `n` bytes off the front.
+    pub fn consume(&mut self, n: usize) {
+        self.from = (self.from + n).min(self.to);
+        if self.from == self.to {
+            (self.from, self.to) = (0, 0);
+            if self.bytes.len() > LEAST {
+                self.bytes.truncate(LEAST);
+                self.bytes.shrink_to_fit();
+            }
+        }
+    }
+
+    /// Room to read into: what is there moves to the front first, and only a buffer that is full to its
+    /// last byte grows. Empty when it may not grow any more.
+    pub fn space(&mut self) -> &mut [u8] {
+        if self.from > 0 {
+            self.bytes.copy_within(self.from..self.to, 0);
+            (self.from, self.to) = (0, self.to - self.from);
+        }
+        if self.to == self.bytes.len() {
+            let size = (self.bytes.len() * 2).clamp(LEAST.min(self.most), self.most);
+            self.bytes.resize(size, 0);
+        }
+        &mut self.bytes[self.to..]
+    }
+
+    /// Notes that `n` bytes were read into [`Buffer::space`].
+    pub fn filled(&mut self, n: usize) {
+        self.to = (self.to + n).min(self.bytes.len());
+    }
+
+    /// Whether nothing more can be read before something is consumed.
+    pub fn is_full(&self) -> bool {
+        self.to - self.from >= self.most
+    }
+
+    /// Memory that it takes.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
+    #[cfg(test)]
+    /// Adds bytes as if they had been read; `false` if there is no room for all of them.
+    pub fn append(&mut self, mut bytes: &[u8]) -> bool {
+        if self.to - self.from + bytes.len() > self.most {
+            return false;
+        }
+        while !bytes.is_empty() {
+            let space = self.space();
+            let n = space.len().min(bytes.len());
+            space[..n].copy_from_slice(&bytes[..n]);
+            bytes = &bytes[n..];
+            self.filled(n);
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn grows_as_needed_up_to_its_bound() {
+        let mut buffer = Buffer::new(5_000);
+        assert_eq!(buffer.size(), 0);
+        assert!(buffer.append(&[1; 1_500]));
+        assert_eq!(buffer.size(), LEAST);
+        assert!(buffer.append(&[2; 3_500]));
+        assert_eq!(buffer.size(), 5_000);
+        assert!(buffer.is_full() && buffer.space().is_empty());
+        assert!(!buffer.append(&[3]));
+        assert_eq!(buffer.unread().iter().map(|&b| usize::from(b)).sum::<usize>(), 1_500 + 7_000);
+    }
+
+    #[test]
+    fn what_is_left_moves_to_the_front_before_anything_grows() {
+        let mut buffer = Buffer::new(1 << 20);
+        for round in 0..1_000u32 {
+            assert!(buffer.append(&round.to_be_bytes()));
+            if round > 0 {
+                assert_eq!(buffer.unread()[..4], (round - 1).to_be_bytes());
+                buffer.consume(4);
+            }
+        }
+        assert_eq!((buffer.size(), buffer.unread().len()), (LEAST, 4));
+    }
+
+    #[test]
+    fn an_emptied_buffer_gives_its_memory_back() {
+        let mut buffer = Buffer::new(1 << 20);
+        assert!(buffer.append(&[0; 100_000]));
+        buffer.consume(200_000);
+        assert_eq!((buffer.unread().len(), buffer.size()), (0, LEAST));
+    }
+}
--- /dev/null
+++ b/crates/server/src/wire/http.rs
@@ -0,0 +1,178 @@
+//! HTTP/1.1 as a client: requests out, replies in.
+
+use std::fmt::Write;
+
+use super::Malformed;
+
+/// The longest head of a reply.
+pub const HEAD: usize = 8 * 1024;
+/// The longest body of a reply.
+pub const BODY: usize = 64 * 1024;
+
+/// A request with a body.
+pub fn request(method: &str, path: &str, host: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
+    for (name, value) in headers {
+        // Writing into a text can't fail.
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// A whole reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Its status.
+    pub status: u16,
+    /// Its headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether the connection can carry another request.
+    pub keep: bool,
+    /// Bytes that it took.
+    pub size: usize,
+}
+
+impl Reply {
+    /// The value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// The reply at the start of `bytes`, `None` until all of it is there. Interim replies are passed over.
+pub fn reply(bytes: &[u8], ended: bool) -> Result<Option<Reply>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut headers);
+    let size = match head.parse(bytes).map_err(|_| Malformed("not a reply in HTTP"))? {
+        httparse::Status::Complete(size) => size,
+        httparse::Status::Partial if bytes.len() > HEAD => return Err(Malformed("a head too long")),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let status = head.code.unwrap_or(0);
+    if (100..200).contains(&status) {
+        let after = reply(&bytes[size..], ended)?;
+        return Ok(after.map(|r| Reply { size: r.size + size, ..r }));
+    }
+    let text =
+        |h: &httparse::Header| (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned());
+    let headers: Vec<_> = head.headers.iter().map(text).collect();
+    let mut reply = Reply { status, headers, body: Vec::new(), keep: head.version == Some(1), size };
+    if reply.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+        reply.keep = false;
+    }
+    let rest = &bytes[size..];
+    let found = body(&reply, rest, ended)?;
+    Ok(found.map(|(body, used, keep)| {
+        reply.size += used;
+        reply.keep &= keep;
+        Reply { body, ..reply }
+    }))
+}
+
+type Body = (Vec<u8>, usize, bool);
+
+/// The body at the start of `rest`: its bytes, how many were used, and whether the connection can go on.
+fn body(reply: &Reply, rest: &[u8], ended: bool) -> Result<Option<Body>, Malformed> {
+    if matches!(reply.status, 204 | 304) {
+        return Ok(Some((Vec::new(), 0, true)));
+    }
+    if let Some(coding) = reply.header("transfer-encoding") {
+        if !coding.eq_ignore_ascii_case("chunked") {
+            return Err(Malformed("a transfer coding that is not known"));
+        }
+        return chunks(rest);
+    }
+    match reply.header("content-length") {
+        Some(length) => {
+            let length: usize = length.trim().parse().map_err(|_| Malformed("a length that is no number"))?;
+            if length > BODY {
+                return Err(Malformed("a body too long"));
+            }
+            Ok(rest.get(..length).map(|b| (b.to_vec(), length, true)))
+        }
+        None if rest.len() > BODY => Err(Malformed("a body too long")),
+        // A body without a length ends with the connection.
+        None => Ok(ended.then(|| (rest.to_vec(), rest.len(), false))),
+    }
+}
+
+fn chunks(rest: &[u8]) -> Result<Option<Body>, Malformed> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let parsed =
+            httparse::parse_chunk_size(&rest[at..]).map_err(|_| Malformed("a chunk without a size"))?;
+        let httparse::Status::Complete((head, size)) = parsed else { return Ok(None) };
+        if size as usize > BODY || body.len() + size as usize > BODY {
+            return Err(Malformed("a body too long"));
+        }
+        let (from, to) = (at + head, at + head + size as usize);
+        let Some(end) = rest.get(to..to + 2) else { return Ok(None) };
+        if end != b"\r\n" {
+            return Err(Malformed("a chunk without an end"));
+        }
+        body.extend_from_slice(&rest[from..to]);
+        at = to + 2;
+        if size == 0 {
+            return Ok(Some((body, at, true)));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_has_its_head_and_body() {
+        let bytes = request("POST", "/records/op", "127.0.0.1:8900", &[("Op-Of", "9b")], &[0, 255]);
+        let wanted = b"POST /records/op HTTP/1.1\r\nHost: 127.0.0.1:8900\r\nOp-Of: 9b\r\nContent-Length: 2\r\n\r\n\x00\xff";
+        assert_eq!(bytes, wanted);
+    }
+
+    #[test]
+    fn a_reply_is_read_only_when_whole() {
+        let bytes = b"HTTP/1.1 503 No\r\nOp-Not-Begun: 1\r\nContent-Length: 3\r\n\r\nabcHTTP";
+        for cut in 0..bytes.len() - 4 {
+            assert_eq!(reply(&bytes[..cut], false), Ok(None), "{cut}");
+        }
+        let read = reply(bytes, false).expect("sound").expect("whole");
+        assert_eq!((read.status, read.header("op-not-begun"), read.keep), (503, Some("1"), true));
+        assert_eq!((read.body.as_slice(), read.size), (&b"abc"[..], bytes.len() - 4));
+    }
+
+    #[test]
+    fn bodies_come_in_every_framing() {
+        let chunked =
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+        for cut in 0..chunked.len() {
+            assert_eq!(reply(&chunked[..cut], false), Ok(None), "{cut}");
+        }
+        assert_eq!(reply(chunked, false).expect("sound").expect("whole").body, b"abcde");
+        let open = b"HTTP/1.1 200 OK\r\n\r\nabc";
+        assert_eq!(reply(open, false), Ok(None));
+        let read = reply(open, true).expect("sound").expect("whole");
+        assert_eq!((read.body.as_slice(), read.keep), (&b"abc"[..], false));
+        let none = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n";
+        let read = reply(none, false).expect("sound").expect("whole");
+        assert_eq!((read.status, read.keep, read.size), (204, false, none.len()));
+    }
+
+    #[test]
+    fn hostile_replies_are_refused() {
+        let bad: [&[u8]; 5] = [
+            b"SSH-2.0-x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        ];
+        for bytes in bad {
+            assert!(reply(bytes, false).is_err(), "{}", String::from_utf8_lossy(bytes));
+        }
+        let endless = [&b"HTTP/1.1 200 OK\r\nX: "[..], &vec![b'a'; HEAD]].concat();
+        assert!(reply(&endless, false).is_err());
+    }
+}
--- /dev/null
+++ b/crates/server/src/wire/jsonl.rs
@@ -0,0 +1,240 @@
+//! The agent's lines: one JSON object each, bodies in base64.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use serde::{Deserialize, Serialize};
+use umberloom::interface::Micros;
+
+use super::Malformed;
+
+/// The longest line that is read.
+pub const LONGEST: usize = 64 * 1024;
+
+/// A command to the agent.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+pub enum Command<'a> {
+    /// Begin a link; `seq` is the number of the last notice that was read.
+    Subscribe {
+        /// That number.
+        seq: u64,
+    },
+    /// Run a request.
+    Launch {
+        /// The request.
+        id: &'a str,
+        /// Its class.
+        class: &'a str,
+        /// Its body, in base64.
+        body: String,
+    },
+    /// Stop a run.
+    Freeze {
+        /// The request.
+        id: &'a str,
+    },
+    /// Go on with a paused run.
+    Thaw {
+        /// The request.
+        id: &'a str,
+    },
+    /// The reply to the call that a run waits for.
+    Deliver {
+        /// The request.
+        id: &'a str,
+        /// The reply, in base64.
+        body: String,
+    },
+    /// Go on without a call.
+    Forgo {
+        /// The request.
+        id: &'a str,
+        /// Number of the notice that asked for the call.
+        seq: u64,
+    },
+    /// Ask for the gauges.
+    Sample {
+        /// Comes back with them.
+        tag: &'a str,
+    },
+    /// Do the work of a deep health check.
+    Exercise {
+        /// Comes back with its end.
+        tag: &'a str,
+    },
+}
+
+impl Command<'_> {
+    /// The command as a line.
+    pub fn line(&self) -> Vec<u8> {
+        // Texts and numbers always serialise; were one not to, the agent would close the link over it.
+        let mut line = serde_json::to_vec(self).unwrap_or_default();
+        line.push(b'\n');
+        line
+    }
+}
+
+/// Bytes as base64.
+pub fn base64(bytes: &[u8]) -> String {
+    STANDARD.encode(bytes)
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Well, with this result.
+    Fine(Vec<u8>),
+    /// It failed.
+    Fault,
+    /// It was stopped, or ended at a call as its request is over.
+    BrokenOff,
+    /// Nothing was started, as the request is over.
+    Late,
+}
+
+/// What the agent says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// The agent is up.
+    Greeting,
+    /// A run is over after this time.
+    Outcome(String, RunEnd, Micros),
+    /// A run waits for a call with this body; the number is that of the notice.
+    Request(String, u64, Vec<u8>),
+    /// Gauges.
+    Sampled(String, Vec<f64>),
+    /// End of the work of a deep health check.
+    Exercised(String, bool),
+    /// A command about a request was not carried out.
+    Refusal(String, String),
+    /// Nothing of meaning.
+    Aside,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    op: String,
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    id: String,
+    #[serde(default)]
+    end: String,
+    #[serde(default)]
+    ms: f64,
+    #[serde(default)]
+    body: String,
+    #[serde(default)]
+    tag: String,
+    #[serde(default)]
+    values: Vec<Option<f64>>,
+}
+
+/// Reads one line: the notice, and its number if it has one.
+pub fn notice(line: &[u8]) -> Result<(Notice, Option<u64>), Malformed> {
+    let line: Line = serde_json::from_slice(line).map_err(|_| Malformed("not a notice in JSON"))?;
+    let body = || STANDARD.decode(&line.body).map_err(|_| Malformed("a body that is not base64"));
+    let took = (line.ms.max(0.0) * 1e3) as Micros;
+    let numbered = matches!(line.op.as_str(), "outcome" | "request" | "aside") && line.seq > 0;
+    let seq = numbered.then_some(line.seq);
+    let notice = match line.op.as_str() {
+        "greeting" => Notice::Greeting,
+        "outcome" => {
+            let end = match line.end.as_str() {
+                "fine" => RunEnd::Fine(body()?),
+                "fault" => RunEnd::Fault,
+                "broken_off" => RunEnd::BrokenOff,
+                "late" => RunEnd::Late,
+                _ => return Err(Malformed("an outcome of no known kind")),
+            };
+            Notice::Outcome(line.id, end, took)
+        }
+        "request" => Notice::Request(line.id.clone(), line.seq, body()?),
+        "sampled" => {
+            Notice::Sampled(line.tag, line.values.into_iter().map(|v| v.unwrap_or(f64::NAN)).collect())
+        }
+        "exercised" => Notice::Exercised(line.tag, line.end == "fine"),
+        "refusal" => Notice::Refusal(line.end, line.id),
+        _ => Notice::Aside,
+    };
+    Ok((notice, seq))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn text(command: Command) -> String {
+        String::from_utf8(command.line()).expect("text")
+    }
+
+    #[test]
+    fn every_command_is_one_line() {
+        let id = "9b1f";
+        let cases = [
+            (Command::Subscribe { seq: 4 }, r#"{"op":"subscribe","seq":4}"#),
+            (
+                Command::Launch { id, class: "a", body: base64(&[0, 255]) },
+                r#"{"op":"launch","id":"9b1f","class":"a","body":"AP8="}"#,
+            ),
+            (Command::Freeze { id }, r#"{"op":"freeze","id":"9b1f"}"#),
+            (Command::Thaw { id }, r#"{"op":"thaw","id":"9b1f"}"#),
+            (Command::Deliver { id, body: base64(b"") }, r#"{"op":"deliver","id":"9b1f","body":""}"#),
+            (Command::Forgo { id, seq: 8 }, r#"{"op":"forgo","id":"9b1f","seq":8}"#),
+            (Command::Sample { tag: "7" }, r#"{"op":"sample","tag":"7"}"#),
+            (Command::Exercise { tag: "7" }, r#"{"op":"exercise","tag":"7"}"#),
+        ];
+        for (command, line) in cases {
+            assert_eq!(text(command), format!("{line}\n"));
+        }
+        assert_eq!(text(Command::Thaw { id: "a\n\"b" }).lines().count(), 1);
+    }
+
+    #[test]
+    fn every_notice_is_read() {
+        let is = |line: &str, wanted: Notice, seq| assert_eq!(notice(line.as_bytes()), Ok((wanted, seq)));
+        is(r#"{"op":"greeting","end":"running","ms":3}"#, Notice::Greeting, None);
+        is(
+            r#"{"op":"outcome","seq":3,"id":"a","end":"fine","ms":18.5,"body":"AP8="}"#,
+            Notice::Outcome("a".into(), RunEnd::Fine(vec![0, 255]), 18_500),
+            Some(3),
+        );
+        for (word, end) in
+            [("fault", RunEnd::Fault), ("broken_off", RunEnd::BrokenOff), ("late", RunEnd::Late)]
+        {
+            let line = format!(r#"{{"op":"outcome","seq":3,"id":"a","end":"{word}","ms":1}}"#);
+            is(&line, Notice::Outcome("a".into(), end, 1_000), Some(3));
+        }
+        is(
+            r#"{"op":"request","seq":4,"id":"a","body":"eA=="}"#,
+            Notice::Request("a".into(), 4, b"x".to_vec()),
+            Some(4),
+        );
+        is(
+            r#"{"op":"sampled","tag":"7","values":[0.5,3,0.25,9]}"#,
+            Notice::Sampled("7".into(), vec![0.5, 3.0, 0.25, 9.0]),
+            None,
+        );
+        is(r#"{"op":"exercised","tag":"7","end":"fault"}"#, Notice::Exercised("7".into(), false), None);
+        is(r#"{"op":"refusal","end":"launch","id":"a"}"#, Notice::Refusal("launch".into(), "a".into()), None);
+        is(r#"{"op":"aside","seq":5,"end":"tea"}"#, Notice::Aside, Some(5));
+        is(r#"{"op":"something-new"}"#, Notice::Aside, None);
+    }
+
+    #[test]
+    fn bad_lines_are_refused_at_every_cut() {
+        let line = br#"{"op":"outcome","seq":3,"id":"a","end":"fine","ms":18.5,"body":"AP8="}"#;
+        for cut in 0..line.len() {
+            assert!(notice(&line[..cut]).is_err(), "{cut}");
+        }
+        for bad in [
+            &b"[]"[..],
+            b"\xff\xfe",
+            br#"{"op":"outcome","seq":-1,"id":"a","end":"fine"}"#,
+            br#"{"op":"outcome","seq":1,"id":"a","end":"odd"}"#,
+            br#"{"op":"request","seq":1,"id":"a","body":"%%"}"#,
+        ] {
+            assert!(notice(bad).is_err(), "{}", String::from_utf8_lossy(bad));
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/wire/responder/tests.rs
@@ -0,0 +1,202 @@
+use super::*;
+
+fn begin(slot: u16, role: u8, flags: u8) -> Vec<u8> {
+    let mut out = Vec::new();
+    fastcgi::write(&mut out, kind::BEGIN_REQUEST, slot, &[0, role, flags, 0, 0, 0, 0, 0]);
+    out
+}
+
+fn request(slot: u16, params: &[u8], body: &[u8]) -> Vec<u8> {
+    let mut out = begin(slot, 1, 1);
+    fastcgi::write(&mut out, kind::PARAMS, slot, params);
+    fastcgi::write(&mut out, kind::PARAMS, slot, &[]);
+    if !body.is_empty() {
+        fastcgi::write(&mut out, kind::STDIN, slot, body);
+    }
+    fastcgi::write(&mut out, kind::STDIN, slot, &[]);
+    out
+}
+
+fn feed(responder: &mut Responder, mut bytes: &[u8]) -> Result<Vec<Incoming>, Malformed> {
+    let mut all = Vec::new();
+    loop {
+        let (used, news) = responder.take(bytes)?;
+        all.extend(news);
+        bytes = &bytes[used..];
+        if used == 0 {
+            return Ok(all);
+        }
+    }
+}
+
+fn kinds(mut bytes: &[u8]) -> Vec<(u8, u16, Vec<u8>)> {
+    let mut all = Vec::new();
+    while let Some(record) = fastcgi::record(bytes).expect("sound") {
+        all.push((record.kind, record.request, bytes[record.content.clone()].to_vec()));
+        bytes = &bytes[record.size..];
+    }
+    all
+}
+
+fn whole(slot: u16, params: &[u8], body: &[u8]) -> Incoming {
+    Incoming::Request { slot, params: params.to_vec(), body: body.to_vec(), too_long: false }
+}
+
+#[test]
+fn requests_are_read_whatever_the_records_are_cut_into() {
+    let mut split = begin(7, 1, 1);
+    for byte in b"params" {
+        fastcgi::write(&mut split, kind::PARAMS, 7, &[*byte]);
+    }
+    fastcgi::write(&mut split, kind::PARAMS, 7, &[]);
+    split.extend(request(8, b"other", b""));
+    for byte in [0u8, 1, 255] {
+        fastcgi::write(&mut split, kind::STDIN, 7, &[byte]);
+    }
+    fastcgi::write(&mut split, kind::STDIN, 7, &[]);
+    let mut responder = Responder::default();
+    let news = feed(&mut responder, &split).expect("sound");
+    assert_eq!(news, vec![whole(8, b"other", b""), whole(7, b"params", &[0, 1, 255])]);
+    assert_eq!((responder.open(), responder.whole(), responder.held()), (2, 2, 0));
+}
+
+#[test]
+fn an_answer_is_one_stream_and_an_end_and_is_given_once() {
+    let mut responder = Responder::default();
+    feed(&mut responder, &request(300, b"p", b"b")).expect("sound");
+    responder.answer(300, b"Status: 200\r\n\r\n");
+    responder.answer(300, b"again");
+    let end = vec![0; 8];
+    let wanted = vec![
+        (kind::STDOUT, 300, b"Status: 200\r\n\r\n".to_vec()),
+        (kind::STDOUT, 300, vec![]),
+        (kind::END_REQUEST, 300, end),
+    ];
+    assert_eq!(kinds(&responder.out), wanted);
+    assert!(!responder.is_last());
+}
+
+#[test]
+fn without_keep_conn_the_answer_is_the_last() {
+    let mut responder = Responder::default();
+    let mut bytes = begin(1, 1, 0);
+    fastcgi::write(&mut bytes, kind::STDIN, 1, &[]);
+    feed(&mut responder, &bytes).expect("sound");
+    assert!(!responder.is_last());
+    responder.answer(1, b"x");
+    assert!(responder.is_last());
+}
+
+#[test]
+fn more_requests_than_allowed_are_overloaded() {
+    let mut responder = Responder::default();
+    for slot in 1..=33 {
+        feed(&mut responder, &begin(slot, 1, 1)).expect("sound");
+    }
+    assert_eq!(kinds(&responder.out), vec![(kind::END_REQUEST, 33, vec![0, 0, 0, 0, 2, 0, 0, 0])]);
+    assert_eq!(responder.open(), OPEN);
+    // What still comes for it is passed over.
+    let mut rest = Vec::new();
+    fastcgi::write(&mut rest, kind::STDIN, 33, &[]);
+    assert_eq!(feed(&mut responder, &rest), Ok(vec![]));
+}
+
+#[test]
+fn other_roles_and_unknown_types_are_told_so() {
+    let mut responder = Responder::default();
+    let mut bytes = begin(5, 2, 1);
+    fastcgi::write(&mut bytes, 77, 0, b"what");
+    fastcgi::write(&mut bytes, 77, 5, b"what");
+    assert_eq!(feed(&mut responder, &bytes), Ok(vec![]));
+    let wanted = vec![
+        (kind::END_REQUEST, 5, vec![0, 0, 0, 0, 3, 0, 0, 0]),
+        (kind::UNKNOWN_TYPE, 0, vec![77, 0, 0, 0, 0, 0, 0, 0]),
+    ];
+    assert_eq!(kinds(&responder.out), wanted);
+}
+
+#[test]
+fn values_are_told() {
+    let mut asked = Vec::new();
+    for name in ["FCGI_MPXS_CONNS", "FCGI_ELSE"] {
+        fastcgi::write_pair(&mut asked, name.as_bytes(), b"");
+    }
+    let mut bytes = Vec::new();
+    fastcgi::write(&mut bytes, kind::GET_VALUES, 0, &asked);
+    let mut responder = Responder::default();
+    feed(&mut responder, &bytes).expect("sound");
+    let mut told = Vec::new();
+    fastcgi::write_pair(&mut told, b"FCGI_MPXS_CONNS", b"1");
+    assert_eq!(kinds(&responder.out), vec![(kind::GET_VALUES_RESULT, 0, told)]);
+}
+
+#[test]
+fn an_abort_ends_the_request_and_frees_its_number() {
+    let mut responder = Responder::default();
+    let mut abort = Vec::new();
+    fastcgi::write(&mut abort, kind::ABORT_REQUEST, 9, &[]);
+    feed(&mut responder, &request(9, b"p", b"")).expect("sound");
+    assert_eq!(feed(&mut responder, &abort), Ok(vec![Incoming::Abort(9)]));
+    assert_eq!(feed(&mut responder, &abort), Ok(vec![]));
+    assert_eq!(feed(&mut responder, &request(9, b"q", b"")), Ok(vec![whole(9, b"q", b"")]));
+    // One that has not come whole yet is known to nobody else.
+    feed(&mut responder, &begin(10, 1, 1)).expect("sound");
+    fastcgi::write(&mut abort, kind::ABORT_REQUEST, 10, &[]);
+    assert_eq!(feed(&mut responder, &abort), Ok(vec![Incoming::Abort(9)]));
+    assert_eq!(responder.open(), 0);
+}
+
+#[test]
+fn what_is_too_long_is_thrown_away_and_said() {
+    let mut responder = Responder::default();
+    let news = feed(&mut responder, &request(1, b"p", &[0; BODY + 1])).expect("sound");
+    let wanted = Incoming::Request { slot: 1, params: b"p".to_vec(), body: vec![], too_long: true };
+    assert_eq!(news, vec![wanted]);
+    let mut bytes = begin(2, 1, 1);
+    for _ in 0..100 {
+        fastcgi::write(&mut bytes, kind::PARAMS, 2, &[0; 60_000]);
+    }
+    feed(&mut responder, &bytes).expect("sound");
+    assert!(responder.held() <= PARAMS);
+}
+
+#[test]
+fn a_request_that_begins_twice_or_short_is_malformed() {
+    let mut responder = Responder::default();
+    assert!(feed(&mut responder, &[begin(1, 1, 1), begin(1, 1, 1)].concat()).is_err());
+    let mut short = Vec::new();
+    fastcgi::write(&mut short, kind::BEGIN_REQUEST, 4, &[0, 1]);
+    assert!(feed(&mut Responder::default(), &short).is_err());
+}
+
+/// A generator of bytes that repeats itself exactly.
+fn noise(seed: u64) -> impl FnMut() -> u8 {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    move || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 24) as u8
+    }
+}
+
+#[test]
+fn no_bytes_whatever_do_harm() {
+    for seed in 0..300 {
+        let mut next = noise(seed);
+        let mut bytes = request(1, b"params", b"body");
+        bytes.extend(request(2, b"params", b"body"));
+        for _ in 0..8 {
+            let at = usize::from(next()) * bytes.len() / 256;
+            bytes[at] = next();
+        }
+        let raw: Vec<u8> = (0..400).map(|_| next() & 15).collect();
+        for input in [&bytes, &raw] {
+            let mut responder = Responder::default();
+            let _ = feed(&mut responder, input);
+            assert!(responder.open() <= OPEN && responder.held() <= OPEN * (PARAMS + BODY));
+            responder.drop_partial();
+            assert_eq!(responder.open(), responder.whole());
+        }
+    }
+}
