--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -15,7 +15,6 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::Logger;
-use umberloom::Server;
 
 use crate::memory::budget::Budget;
 use crate::module::{self, Message, Module, Others};
@@ -55,10 +54,9 @@
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let notices = Notices::new().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::default();
-    let server = Server::new(clock.now(), config.settings.clone()).map_err(|e| e.to_string())?;
     let executor = Rc::new(LocalExecutor::new());
     life.enter(Phase::Waiting);
-    let program = Program::start(&executor, &config, listener, server, clock, &log);
+    let program = Program::start(&executor, &config, listener, clock, &log);
     async_io::block_on(executor.run(program.live(life, notices, config.stop)));
     Ok(())
 }
@@ -77,7 +75,6 @@
         executor: &Rc<LocalExecutor<'a>>,
         config: &Config,
         listener: Async<TcpListener>,
-        server: Server,
         clock: Clock,
         log: &Logger,
     ) -> Program {
@@ -89,8 +86,8 @@
         let (front, front_orders) = bounded(front::MAILBOX);
         let (up_told, up) = bounded(1);
         let others = Others { agent, records, list, front: front.clone(), up: up_told };
-        let ticks = (config.settings.tick, config.gauges.clone());
-        executor.spawn(Module::new(server, ticks, mail, others, clock.clone(), log.clone()).run()).detach();
+        let told = (config.settings.clone(), config.gauges.clone());
+        executor.spawn(Module::new(told, mail, others, clock.clone(), log.clone()).run()).detach();
         executor.spawn(Agent::new(config.agent, agent_orders, module.clone(), log.clone()).run()).detach();
         executor.spawn(List::new(config.announce, &config.name, list_words, log.clone()).run()).detach();
         if let Some(address) = config.records {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -47,7 +47,7 @@
     let config = Config::load(path)?;
     let level = if verbose { Level::Debug } else { Level::Info };
     let (log, _guard) = lifecycle::log::start(&config.name, level);
-    info!(log, "start"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %config.listen);
+    info!(log, "start"; "cold" => config.settings.cold, "version" => env!("CARGO_PKG_VERSION"), "listen" => %config.listen);
     lifecycle::serve(config, log)
 }
 
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 use slog::{debug, error, Logger};
 use std::time::Duration;
-use umberloom::interface::{Action, Arrival, Event, Gauges, Micros, Outcome, RequestId};
+use umberloom::interface::{Action, Arrival, Event, Gauges, Micros, Outcome, RequestId, Settings};
 use umberloom::Server;
 use umberloom_settings::GaugeNames;
 
@@ -67,8 +67,8 @@
     Check(Check),
     /// Nobody waits for this request any more.
     Gone(RequestId),
-    /// The agent is up.
-    Greeted,
+    /// The agent is up, since so long.
+    Greeted(Micros),
     /// The link to the agent is lost.
     LinkLost,
     /// A run is over.
@@ -103,8 +103,9 @@
 
 /// The actor.
 pub struct Module {
-    server: Server,
-    tick: Micros,
+    settings: Settings,
+    /// There from the greeting on: a server begins to warm up when its agent starts.
+    server: Option<Server>,
     gauges: GaugeNames,
     mail: Receiver<Message>,
     others: Others,
@@ -121,14 +122,14 @@
     tag: u64,
     checks: BTreeMap<u64, (Micros, ReplyTo)>,
     ready: Option<bool>,
-    greeted: bool,
+    /// Notice to drain: when the process is stopped.
+    stop_at: Option<Micros>,
 }
 
 impl Module {
-    /// Hosts `server`, which has just started.
+    /// Will host a server with these settings.
     pub fn new(
-        server: Server,
-        (tick, gauges): (Micros, GaugeNames),
+        (settings, gauges): (Settings, GaugeNames),
         mail: Receiver<Message>,
         others: Others,
         clock: Clock,
@@ -137,10 +138,10 @@
         let (open, keys) = (Table::default(), Keys::default());
         let (events, later) = (Vec::new(), VecDeque::new());
         let (wake_at, sample, checks) = (None, None, BTreeMap::new());
-        let (tag, ready, greeted) = (0, None, false);
+        let (server, tag, ready, stop_at) = (None, 0, None, None);
         Module {
+            settings,
             server,
-            tick,
             gauges,
             mail,
             others,
@@ -155,26 +156,24 @@
             tag,
             checks,
             ready,
-            greeted,
+            stop_at,
         }
     }
 
     /// Decides for as long as anyone may send messages.
     pub async fn run(mut self) {
-        // A server that has just started may have something to do before anything happens.
-        self.step();
+        let tick = self.settings.tick;
         loop {
             let before = self.clock.now();
             if !self.wait().await {
                 return;
             }
-            if self.events.is_empty() {
+            if !self.step() {
                 continue;
             }
-            self.step();
             let spent = self.clock.now().saturating_sub(before);
-            if spent < self.tick {
-                Timer::after(Duration::from_micros(self.tick - spent)).await;
+            if spent < tick {
+                Timer::after(Duration::from_micros(tick - spent)).await;
             }
         }
     }
@@ -227,12 +226,14 @@
         }
     }
 
-    fn step(&mut self) {
+    /// One step, if there is anything to tell.
+    fn step(&mut self) -> bool {
+        let Some(server) = self.server.as_mut().filter(|_| !self.events.is_empty()) else { return false };
         let now = self.clock.now();
         let mut actions = Vec::new();
-        let events = std::mem::take(&mut self.events);
-        self.server.step(now, events, &mut actions);
+        server.step(now, std::mem::take(&mut self.events), &mut actions);
         actions.into_iter().for_each(|action| self.carry_out(now, action));
+        true
     }
 
     fn take(&mut self, now: Micros, message: Message) {
@@ -240,7 +241,7 @@
             Message::Request(request) => self.arrived(now, *request),
             Message::Check(check) => self.check(now, check),
             Message::Gone(id) => self.gone(&id),
-            Message::Greeted => self.greet(),
+            Message::Greeted(since) => self.greet(now, since),
             Message::LinkLost => self.link_lost(),
             Message::Outcome(id, end, took) => self.ended(&id, end, took),
             Message::NeedsCall(id, seq, body) => self.needs_call(&id, seq, body),
@@ -252,7 +253,10 @@
             }
             Message::AgentRefused(command, id) => self.agent_refused(&command, &id),
             Message::Called(id, outcome, took, body) => self.called(id, outcome, took, body),
-            Message::Leave(span) => self.events.push(Event::Leave(span)),
+            Message::Leave(span) => {
+                self.stop_at = Some(now + span);
+                self.events.push(Event::Leave(span));
+            }
         }
     }
 
@@ -262,6 +266,10 @@
 
     fn arrived(&mut self, now: Micros, request: Request) {
         let Request { id, class, work, body, reply_to, charge } = request;
+        if self.server.is_none() {
+            // Nothing can run before the agent is up.
+            return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
+        }
         let repeats = self.subject(class, &work).and_then(|s| self.keys.find(&s, now));
         let arrival = Arrival {
             id: id.clone(),
@@ -307,12 +315,18 @@
         self.sweep(&id);
     }
 
-    fn greet(&mut self) {
-        if !self.greeted {
-            self.greeted = true;
-            let _ = self.others.up.try_send(());
-            let _ = self.others.list.try_send(self.ready.unwrap_or(true));
+    /// The server's life begins with its agent's, not with this process.
+    fn greet(&mut self, now: Micros, since: Micros) {
+        if self.server.is_some() {
+            return;
         }
+        // The settings were checked when they were read.
+        self.server = Server::new(now.saturating_sub(since), self.settings.clone()).ok();
+        // A fresh server may have something to do before anything happens.
+        self.events = vec![Event::Timer(Gauges::default())];
+        self.events.extend(self.stop_at.map(|at| Event::Leave(at.saturating_sub(now))));
+        let _ = self.others.up.try_send(());
+        let _ = self.others.list.try_send(self.ready.unwrap_or(true));
     }
 
     /// Answers to questions asked on the lost link will not come.
@@ -324,7 +338,7 @@
 
     fn check(&mut self, now: Micros, check: Check) {
         match self.ready {
-            _ if !self.greeted => check.reply_to.answer(Answer::Health(false)),
+            _ if self.server.is_none() => check.reply_to.answer(Answer::Health(false)),
             Some(word) => check.reply_to.answer(Answer::Health(word)),
             None if !check.full => check.reply_to.answer(Answer::Health(true)),
             None if self.checks.len() >= CHECKS => check.reply_to.answer(Answer::Health(false)),
@@ -470,9 +484,7 @@
             Action::Join(id) => self.join(&id),
             Action::Ready(word) => {
                 self.ready = Some(word);
-                if self.greeted {
-                    let _ = self.others.list.try_send(word);
-                }
+                let _ = self.others.list.try_send(word);
             }
             Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
             Action::CloseIdle(span) => drop(self.others.front.try_send(front::Order::CloseIdle(span))),
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -134,7 +134,7 @@
             let read = jsonl::notice(&link.buffer.unread()[..end]);
             link.buffer.consume(end + 1);
             let (notice, number) = read.map_err(Broken::Malformed)?;
-            if notice == Notice::Greeting && !link.greeted {
+            if matches!(notice, Notice::Greeting(..)) && !link.greeted {
                 link.greeted = true;
                 self.journal.restart();
             }
@@ -157,9 +157,9 @@
 
     async fn heed(&mut self, notice: Notice) -> Result<(), Broken> {
         let message = match notice {
-            Notice::Greeting => {
-                info!(self.log, "agent is up");
-                Message::Greeted
+            Notice::Greeting(starting, since) => {
+                info!(self.log, "agent is up"; "starting" => starting, "since_us" => since);
+                Message::Greeted(since)
             }
             Notice::Outcome(id, end, took) => {
                 self.journal.ended(&id);
--- a/crates/server/src/wire/jsonl.rs
+++ b/crates/server/src/wire/jsonl.rs
@@ -95,8 +95,8 @@
 /// What the agent says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
-    /// The agent is up.
-    Greeting,
+    /// The agent is up, since so long; `true`: it was starting then, `false`: it ran already.
+    Greeting(bool, Micros),
     /// A run is over after this time.
     Outcome(String, RunEnd, Micros),
     /// A run waits for a call with this body; the number is that of the notice.
@@ -138,7 +138,7 @@
     let numbered = matches!(line.op.as_str(), "outcome" | "request" | "aside") && line.seq > 0;
     let seq = numbered.then_some(line.seq);
     let notice = match line.op.as_str() {
-        "greeting" => Notice::Greeting,
+        "greeting" => Notice::Greeting(line.end == "starting", took),
         "outcome" => {
             let end = match line.end.as_str() {
                 "fine" => RunEnd::Fine(body()?),
@@ -193,7 +193,8 @@
     #[test]
     fn every_notice_is_read() {
         let is = |line: &str, wanted: Notice, seq| assert_eq!(notice(line.as_bytes()), Ok((wanted, seq)));
-        is(r#"{"op":"greeting","end":"running","ms":3}"#, Notice::Greeting, None);
+        is(r#"{"op":"greeting","end":"running","ms":3}"#, Notice::Greeting(false, 3_000), None);
+        is(r#"{"op":"greeting","end":"starting"}"#, Notice::Greeting(true, 0), None);
         is(
             r#"{"op":"outcome","seq":3,"id":"a","end":"fine","ms":18.5,"body":"AP8="}"#,
             Notice::Outcome("a".into(), RunEnd::Fine(vec![0, 255]), 18_500),
