Rules on sockets tested on loopback: one answer, unchanged bytes, links, drain, full table

Stand-ins of the agent, the records and the announce service around a real process, written from the protocol. Found by them: a full table let one connection go at a time and each kept its place for 500 ms; now an eighth of the table, for 200 ms. A step could follow the one before within a tick. A paused run whose work is lost is launched again, not thawed. A request that the module has lost sight of is answered when overdue.

--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use umberloom::interface::RequestId;
+use umberloom::interface::{Micros, RequestId};
 
 use super::budget::Charge;
 use crate::peers::balancer::ReplyTo;
@@ -16,8 +16,8 @@
     None,
     /// Launched.
     Going,
-    /// Launched, and stopped at our word.
-    Halted,
+    /// Launched, and paused at our word.
+    Paused,
 }
 
 /// The call that a run waits for.
@@ -46,6 +46,8 @@
     pub reply_to: Option<ReplyTo>,
     /// Its run.
     pub run: Run,
+    /// It has been launched at some time, so that it may have had its effect.
+    pub ran: bool,
     /// A stop was asked for and has not been confirmed.
     pub halting: bool,
     /// The call that its run waits for.
@@ -82,6 +84,12 @@
         self.all.remove(id);
     }
 
+    /// Requests that were to be answered before `time` and are not.
+    pub fn overdue(&self, time: Micros) -> Vec<RequestId> {
+        let late = self.all.values().filter(|o| o.reply_to.is_some() && o.work.waits(time) == 0);
+        late.map(|o| o.id.clone()).collect()
+    }
+
     /// Requests that wait for the result of this one.
     pub fn joined_to(&self, id: &str) -> Vec<RequestId> {
         let joined = self.all.values().filter(|o| o.joins.as_deref() == Some(id));
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 use slog::{debug, error, Logger};
 use std::time::Duration;
-use umberloom::interface::{Action, Arrival, Event, Gauges, Micros, Outcome, RequestId, Settings};
+use umberloom::interface::{Action, Arrival, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings};
 use umberloom::Server;
 use umberloom_settings::GaugeNames;
 
@@ -162,18 +162,15 @@
 
     /// Decides for as long as anyone may send messages.
     pub async fn run(mut self) {
-        let tick = self.settings.tick;
-        loop {
-            let before = self.clock.now();
-            if !self.wait().await {
-                return;
+        let mut next_step: Micros = 0;
+        while self.wait().await {
+            let early = next_step.saturating_sub(self.clock.now());
+            if early > 0 && !self.events.is_empty() {
+                Timer::after(Duration::from_micros(early)).await;
+                self.drain();
             }
-            if !self.step() {
-                continue;
-            }
-            let spent = self.clock.now().saturating_sub(before);
-            if spent < tick {
-                Timer::after(Duration::from_micros(tick - spent)).await;
+            if self.step() {
+                next_step = self.clock.now() + self.settings.tick;
             }
         }
     }
@@ -196,12 +193,18 @@
         self.events.extend(self.later.drain(..));
         let now = self.clock.now();
         first.into_iter().for_each(|m| self.take(now, m));
+        self.drain();
+        true
+    }
+
+    /// Takes in all that has come.
+    fn drain(&mut self) {
+        let now = self.clock.now();
         for _ in 0..AT_ONCE {
             let Ok(message) = self.mail.try_recv() else { break };
             self.take(now, message);
         }
         self.pass_time(now);
-        true
     }
 
     fn check_end(&self) -> Option<Micros> {
@@ -233,9 +236,21 @@
         let mut actions = Vec::new();
         server.step(now, std::mem::take(&mut self.events), &mut actions);
         actions.into_iter().for_each(|action| self.carry_out(now, action));
+        self.answer_overdue(now);
         true
     }
 
+    /// The module answers all in time. Should it ever have lost sight of a request, as after a run that was
+    /// stopped from outside, the request is not lost with that.
+    fn answer_overdue(&mut self, now: Micros) {
+        let slack = self.settings.answer_slack / 2;
+        for id in self.open.overdue(now.saturating_sub(slack)) {
+            error!(self.log, "not answered by the module"; "request" => &*id);
+            self.finish(&id, Answer::Failed);
+            self.later.push_back(Event::Gone(id));
+        }
+    }
+
     fn take(&mut self, now: Micros, message: Message) {
         match message {
             Message::Request(request) => self.arrived(now, *request),
@@ -292,6 +307,7 @@
             body,
             reply_to: Some(reply_to),
             run: Run::None,
+            ran: false,
             halting: false,
             call: None,
             joins: arrival.repeats.clone(),
@@ -374,7 +390,8 @@
             open.halting = false;
             // A stop that we asked for leaves the request in our hands, unless it is answered.
             let halted = outcome == Outcome::Stopped && asked && open.reply_to.is_some();
-            open.run = if halted { Run::Halted } else { Run::None };
+            let paused = halted && self.settings.halt == Halt::Pause;
+            open.run = if paused { Run::Paused } else { Run::None };
             if !halted {
                 // A run that was ended by others, or failed, still owes its answer.
                 self.answer(&id, Answer::Failed);
@@ -471,7 +488,7 @@
             Action::Admit(id) => self.admit(&id),
             Action::Halt(id) => self.halt(&id),
             Action::Refuse { id, stay_away, terminal } => {
-                let begun = self.open.get(&id).is_some_and(|open| open.run != Run::None);
+                let begun = self.open.get(&id).is_some_and(|open| open.ran);
                 // What has run may have had its effect: its failure is never a refusal.
                 let refused = Answer::Refused { stay_away, terminal };
                 self.finish(&id, if begun { Answer::Failed } else { refused });
@@ -501,10 +518,10 @@
         }
         let order = match open.run {
             Run::Going => return,
-            Run::Halted => Order::Thaw(id.clone()),
+            Run::Paused => Order::Thaw(id.clone()),
             Run::None => Order::Launch(id.clone(), open.work.class.clone(), open.body.clone()),
         };
-        open.run = Run::Going;
+        (open.run, open.ran) = (Run::Going, true);
         self.order(order);
     }
 
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -27,8 +27,9 @@
 const UNWRITTEN: usize = 256 * 1024;
 /// A peer that takes nothing for so long, or leaves a request half sent, is closed.
 const STALLED: Duration = Duration::from_secs(30);
-/// After our end of the stream, the peer has this long to end its own.
-const LINGER: Duration = Duration::from_millis(500);
+/// After our end of the stream, the peer has this long to end its own: well over the time within which a
+/// request may cross a close.
+const LINGER: Duration = Duration::from_millis(200);
 /// What an open request takes besides its body: its fields, and its result when it comes.
 const PER_REQUEST: usize = 6 * 1024;
 
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -140,10 +140,12 @@
         }
     }
 
-    /// The table is full: the connection that has been idle longest leaves its place to the next one.
+    /// The table is full: those that have been idle longest leave their places to the next ones. Several at
+    /// once, as a peer that does not end its own side keeps its place for a while.
     fn make_room(&self) {
-        let idle = self.all.values().filter(|e| e.activity.open.get() == 0);
-        if let Some(entry) = idle.min_by_key(|e| e.activity.last.get()) {
+        let mut idle: Vec<&Entry> = self.all.values().filter(|e| e.activity.open.get() == 0).collect();
+        idle.sort_by_key(|e| e.activity.last.get());
+        for entry in idle.iter().take(self.most.div_ceil(8)) {
             let _ = entry.words.try_send(Word::CloseIfIdle);
         }
     }
--- a/crates/server/src/peers/list.rs
+++ b/crates/server/src/peers/list.rs
@@ -16,7 +16,7 @@
 /// Time between reports; an entry lapses 3 s after the last.
 const EVERY: Duration = Duration::from_millis(700);
 /// Time for one report, and between a failed one and the next try.
-const LIMIT: Duration = Duration::from_millis(500);
+const LIMIT: Duration = Duration::from_millis(300);
 const RETRY: Duration = Duration::from_millis(100);
 
 /// The actor.
--- a/crates/server/src/peers/records.rs
+++ b/crates/server/src/peers/records.rs
@@ -9,7 +9,8 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
+use async_io::{Async, Timer};
+use futures_lite::future;
 use slog::{debug, Logger};
 use umberloom::interface::{Micros, Outcome, RequestId};
 
@@ -24,6 +25,8 @@
 const PATH: &str = "/records/op";
 /// An idle connection is not used after this: the service closes it after 10 s.
 const IDLE: Duration = Duration::from_secs(5);
+/// Time between looks for connections that have been idle for so long.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// Idle connections that are kept.
 const POOL: usize = 16;
 
@@ -69,9 +72,20 @@
 
     /// Makes calls for as long as the module is there.
     pub async fn run(mut self) {
-        while let Ok(order) = self.orders.recv().await {
+        loop {
+            let order = async { Some(self.orders.recv().await) };
+            let look = async {
+                Timer::after(LOOK_EVERY).await;
+                None
+            };
+            let order = match future::or(order, look).await {
+                Some(Ok(order)) => Some(order),
+                Some(Err(_)) => return,
+                None => None,
+            };
             self.calls.retain(|_, task| !task.is_finished());
-            self.retire();
+            self.pool.borrow_mut().retain(|(since, _)| since.elapsed() < IDLE);
+            let Some(order) = order else { continue };
             match order {
                 Order::Call(id, body, until) => {
                     // A second call for a request gives up the first: dropping it closes its connection.
@@ -92,10 +106,6 @@
         }
     }
 
-    fn retire(&self) {
-        self.pool.borrow_mut().retain(|(since, _)| since.elapsed() < IDLE);
-    }
-
     fn call(
         &self,
         id: RequestId,
--- /dev/null
+++ b/crates/server/tests/command_line.rs
@@ -0,0 +1,92 @@
+//! What the program says of its command line and its configuration, before anything is served.
+
+mod common;
+
+use common::run;
+use serde_json::{json, Value};
+
+fn config() -> Value {
+    json!({
+        "name": "n3", "listen": "127.0.0.1:1", "agent": "127.0.0.1:1", "announce": "127.0.0.1:1",
+        "records": "127.0.0.1:1", "seed": "8c1f30d27a5be964", "stop_ms": 3200,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": common::settings()
+    })
+}
+
+/// The one line of complaint about a configuration.
+fn complaint(command: &str, text: &str) -> String {
+    let output = run(&[command], Some(text));
+    assert!(!output.status.success());
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(said.lines().filter(|line| line.starts_with("umberloom: ")).count(), 1, "{said}");
+    said
+}
+
+#[test]
+fn a_sound_configuration_is_said_to_be_so() {
+    let output = run(&["check"], Some(&config().to_string()));
+    assert!(output.status.success());
+    assert_eq!(output.stdout, b"n3: sound\n");
+}
+
+#[test]
+fn the_version_is_told() {
+    let output = run(&["version"], None);
+    assert!(output.status.success());
+    assert!(String::from_utf8(output.stdout).expect("text").starts_with("umberloom "));
+}
+
+#[test]
+fn what_makes_no_sense_is_named() {
+    let cases: [(&str, Value, &str); 14] = [
+        ("/listen", json!("nowhere"), "`listen`"),
+        ("/agent", json!(7), "`agent`"),
+        ("/seed", json!("not hex"), "`seed`"),
+        ("/stop_ms", json!(0), "`stop_ms`"),
+        ("/stop_ms", json!(-1), "`stop_ms`"),
+        ("/limits/memory_mb", json!(1), "memory_mb"),
+        ("/limits/sockets", json!(8), "sockets"),
+        ("/settings/family_info/n_cores", json!(0), "at least one core"),
+        ("/settings/classes", json!([]), "no request class"),
+        ("/settings/classes/0/effect", json!("idempotency_key"), "repeats with a key"),
+        ("/settings/classes/0/name", json!("a/b"), "no name"),
+        ("/settings/family_info/say", json!("tokens"), "free value"),
+        ("/settings/family_info/downstream", json!("next_hop"), "next tier"),
+        ("/settings/realms", json!([{"name": "t", "quota_rps": 3.0}]), "tenants"),
+    ];
+    for (place, value, wanted) in cases {
+        let mut config = config();
+        *config.pointer_mut(place).expect("a field") = value;
+        let said = complaint("check", &config.to_string());
+        assert!(said.contains(wanted), "{place}: {said}");
+    }
+}
+
+#[test]
+fn a_broken_or_missing_configuration_serves_nothing() {
+    assert!(complaint("serve", "{").contains("not JSON"));
+    assert!(complaint("serve", "[]").contains("expected an object"));
+    assert!(complaint("serve", "{}").contains("`settings`"));
+    let missing = run(&["serve", "--config", "/nonexistent/config.json"], None);
+    assert!(!missing.status.success());
+    assert!(String::from_utf8(missing.stderr).expect("text").contains("/nonexistent/config.json"));
+    let unnamed = run(&["serve"], None);
+    assert!(!unnamed.status.success() && !unnamed.stderr.is_empty());
+}
+
+#[test]
+fn an_address_in_use_is_named() {
+    let holder = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = config();
+    config["listen"] = json!(holder.local_addr().expect("an address"));
+    assert!(complaint("serve", &config.to_string()).contains("listen on 127.0.0.1:"));
+}
+
+#[test]
+fn an_unknown_sub_command_is_refused() {
+    for arguments in [&["unheard-of"][..], &[], &["serve", "--unheard-of"]] {
+        let output = run(arguments, None);
+        assert!(!output.status.success(), "{arguments:?}");
+        assert!(!output.stderr.is_empty() && output.stdout.is_empty(), "{arguments:?}");
+    }
+}
--- /dev/null
+++ b/crates/server/tests/common/balancer.rs
@@ -0,0 +1,202 @@
+//! A balancer: FastCGI from its side.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use super::{eventually, unix_ms, PATIENCE};
+
+/// Bytes in base64, for the agent.
+pub fn base64(bytes: &[u8]) -> String {
+    use base64::engine::general_purpose::STANDARD;
+    use base64::Engine;
+    STANDARD.encode(bytes)
+}
+
+/// One record.
+pub fn record(kind: u8, slot: u16, content: &[u8]) -> Vec<u8> {
+    let mut out = vec![1, kind];
+    out.extend_from_slice(&slot.to_be_bytes());
+    out.extend_from_slice(&(content.len() as u16).to_be_bytes());
+    out.extend_from_slice(&[3, 0]);
+    out.extend_from_slice(content);
+    out.extend_from_slice(&[0; 3]);
+    out
+}
+
+fn pair(out: &mut Vec<u8>, name: &str, value: &str) {
+    for size in [name.len(), value.len()] {
+        if size < 128 {
+            out.push(size as u8);
+        } else {
+            out.extend_from_slice(&(size as u32 | 0x8000_0000).to_be_bytes());
+        }
+    }
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(value.as_bytes());
+}
+
+/// A request as a balancer would send it.
+#[derive(Clone)]
+pub struct Request {
+    pub slot: u16,
+    pub flags: u8,
+    pub body: Vec<u8>,
+    pub fields: BTreeMap<&'static str, String>,
+}
+
+impl Request {
+    /// Work of class `search`, with time enough.
+    pub fn new(slot: u16, id: &str) -> Request {
+        let fields = [
+            ("REQUEST_METHOD", "POST".to_owned()),
+            ("SCRIPT_NAME", "/svc/search".to_owned()),
+            ("HTTP_REQUEST_ID", id.to_owned()),
+            ("HTTP_RECEIVED_AT", unix_ms().to_string()),
+            ("HTTP_SENT_BY", "4".to_owned()),
+            ("HTTP_BUDGET_MS", "150000".to_owned()),
+            ("HTTP_FOOTPRINT_KB", "24.5".to_owned()),
+            ("HTTP_PRIORITY_RANK", "0.6250".to_owned()),
+        ];
+        Request { slot, flags: 1, body: b"body".to_vec(), fields: BTreeMap::from(fields) }
+    }
+
+    /// A health check.
+    pub fn check(slot: u16, query: &str) -> Request {
+        let fields = [
+            ("REQUEST_METHOD", "GET".to_owned()),
+            ("SCRIPT_NAME", "/status/live".to_owned()),
+            ("QUERY_STRING", query.to_owned()),
+        ];
+        Request { slot, flags: 1, body: Vec::new(), fields: BTreeMap::from(fields) }
+    }
+
+    pub fn with(mut self, field: &'static str, value: &str) -> Request {
+        self.fields.insert(field, value.to_owned());
+        self
+    }
+
+    pub fn without(mut self, field: &str) -> Request {
+        self.fields.remove(field);
+        self
+    }
+
+    pub fn body(mut self, body: &[u8]) -> Request {
+        self.body = body.to_vec();
+        self
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut params = Vec::new();
+        self.fields.iter().for_each(|(name, value)| pair(&mut params, name, value));
+        let mut out = record(1, self.slot, &[0, 1, self.flags, 0, 0, 0, 0, 0]);
+        out.extend(record(4, self.slot, &params));
+        out.extend(record(4, self.slot, &[]));
+        if !self.body.is_empty() {
+            out.extend(record(5, self.slot, &self.body));
+        }
+        out.extend(record(5, self.slot, &[]));
+        out
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub slot: u16,
+    pub protocol_status: u8,
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// One connection.
+pub struct Balancer {
+    pub stream: TcpStream,
+    unread: Vec<u8>,
+    streams: BTreeMap<u16, Vec<u8>>,
+}
+
+impl Balancer {
+    /// Connects, for as long as the server is not listening yet.
+    pub fn connect(to: SocketAddr) -> Balancer {
+        let stream = eventually("a connection", || TcpStream::connect(to).ok());
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+        Balancer { stream, unread: Vec::new(), streams: BTreeMap::new() }
+    }
+
+    pub fn send(&mut self, request: &Request) {
+        self.send_bytes(&request.bytes());
+    }
+
+    pub fn send_bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+
+    /// The next record, or `None` at the end of the connection.
+    pub fn record(&mut self) -> Option<(u8, u16, Vec<u8>)> {
+        loop {
+            if let [1, kind, high, low, more, less, padding, _, rest @ ..] = self.unread.as_slice() {
+                let length = usize::from(u16::from_be_bytes([*more, *less]));
+                let size = 8 + length + usize::from(*padding);
+                if self.unread.len() >= size {
+                    let read = (*kind, u16::from_be_bytes([*high, *low]), rest[..length].to_vec());
+                    self.unread.drain(..size);
+                    return Some(read);
+                }
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => {
+                    assert!(self.unread.is_empty(), "the connection ends within a record");
+                    return None;
+                }
+                Ok(n) => self.unread.extend_from_slice(&bytes[..n]),
+                Err(e) => panic!("reading an answer: {e}"),
+            }
+        }
+    }
+
+    /// The next whole answer, or `None` at the end of the connection.
+    pub fn try_answer(&mut self) -> Option<Answer> {
+        loop {
+            let (kind, slot, content) = self.record()?;
+            match kind {
+                6 => self.streams.entry(slot).or_default().extend(content),
+                3 => {
+                    let stream = self.streams.remove(&slot).unwrap_or_default();
+                    return Some(parse(slot, content[4], &stream));
+                }
+                _ => panic!("a record of kind {kind}"),
+            }
+        }
+    }
+
+    pub fn answer(&mut self) -> Answer {
+        self.try_answer().expect("an answer before the end of the connection")
+    }
+
+    /// Sends a request and waits for its answer.
+    pub fn ask(&mut self, request: &Request) -> Answer {
+        self.send(request);
+        let answer = self.answer();
+        assert_eq!(answer.slot, request.slot);
+        answer
+    }
+}
+
+fn parse(slot: u16, protocol_status: u8, stream: &[u8]) -> Answer {
+    let mut answer = Answer { slot, protocol_status, status: 0, headers: BTreeMap::new(), body: Vec::new() };
+    if stream.is_empty() {
+        return answer;
+    }
+    let end = stream.windows(4).position(|w| w == b"\r\n\r\n").expect("an empty line");
+    for line in std::str::from_utf8(&stream[..end]).expect("text").split("\r\n") {
+        let (name, value) = line.split_once(": ").expect("a header");
+        answer.headers.insert(name.to_owned(), value.to_owned());
+    }
+    let status = answer.headers["Status"].split(' ').next().expect("a status");
+    answer.status = status.parse().expect("a number");
+    answer.body = stream[end + 4..].to_vec();
+    answer
+}
--- /dev/null
+++ b/crates/server/tests/common/http.rs
@@ -0,0 +1,153 @@
+//! The records service and the announce service.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+
+use super::PATIENCE;
+
+/// One HTTP request.
+#[derive(Debug)]
+pub struct Received {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str()).expect("the header")
+    }
+}
+
+fn receive(from: &mut impl BufRead) -> Option<Received> {
+    let mut line = String::new();
+    from.read_line(&mut line).ok().filter(|&n| n > 0)?;
+    let (mut headers, mut length) = (Vec::new(), 0);
+    loop {
+        let mut header = String::new();
+        from.read_line(&mut header).ok()?;
+        let Some((name, value)) = header.trim_end().split_once(": ") else { break };
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.parse().expect("a length");
+        }
+        headers.push((name.to_owned(), value.to_owned()));
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some(Received { line: line.trim_end().to_owned(), headers, body })
+}
+
+/// A call that was made, and the connection on which it is to be answered.
+pub struct Call {
+    pub request: Received,
+    pub stream: TcpStream,
+}
+
+impl Call {
+    /// Answers it.
+    pub fn reply(&mut self, status: &str, more: &str, body: &[u8]) {
+        let head = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len());
+        self.stream.write_all(&[head.as_bytes(), body].concat()).expect("written");
+    }
+
+    /// Waits until the server has closed the connection.
+    pub fn given_up(&mut self) {
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+        let mut byte = [0];
+        // A close may show as an end or as a reset.
+        match self.stream.read(&mut byte) {
+            Ok(n) => assert_eq!(n, 0, "more bytes on a call's connection"),
+            Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "{e}"),
+        }
+    }
+}
+
+fn calls(stream: &TcpStream, tell: &Sender<Call>) {
+    let mut from = BufReader::new(stream.try_clone().expect("a second handle"));
+    while let Some(request) = receive(&mut from) {
+        let stream = stream.try_clone().expect("a second handle");
+        if tell.send(Call { request, stream }).is_err() {
+            return;
+        }
+        if from.buffer().is_empty() {
+            // The next request, or the end, is read by whoever answers this one.
+            let mut byte = [0];
+            let _ = from.get_ref().peek(&mut byte);
+        }
+    }
+}
+
+/// The records service.
+pub struct Records {
+    pub address: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+impl Records {
+    pub fn start() -> Records {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, calls_made) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let tell = tell.clone();
+                std::thread::spawn(move || calls(&stream, &tell));
+            }
+        });
+        Records { address, calls: calls_made }
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.calls.recv_timeout(PATIENCE).expect("a call")
+    }
+}
+
+/// The announce service.
+pub struct Announce {
+    pub address: SocketAddr,
+    reports: Receiver<String>,
+}
+
+impl Announce {
+    pub fn start() -> Announce {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, reports) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let tell = tell.clone();
+                std::thread::spawn(move || {
+                    let mut from = BufReader::new(stream.try_clone().expect("a second handle"));
+                    while let Some(request) = receive(&mut from) {
+                        let mut stream = &stream;
+                        let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                        let word = word(&request);
+                        if tell.send(word).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Announce { address, reports }
+    }
+
+    /// The word of the next report.
+    pub fn report(&self) -> String {
+        self.reports.recv_timeout(PATIENCE).expect("a report")
+    }
+
+    /// Waits for a report with this word.
+    pub fn expect(&self, word: &str) {
+        while self.report() != word {}
+    }
+}
+
+fn word(request: &Received) -> String {
+    assert_eq!(request.line, "PUT /announce/n3 HTTP/1.1");
+    let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
+    value["accepting"].as_str().expect("a word").to_owned()
+}
--- /dev/null
+++ b/crates/server/tests/rules.rs
@@ -0,0 +1,270 @@
+//! The rules on sockets where peers fail: links, floods, bad bytes, the end.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use common::balancer::{record, Request};
+use common::{eventually, Balancer, World};
+
+/// A generator of bytes that repeats itself exactly.
+fn noise(seed: u64, length: usize) -> Vec<u8> {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut next = || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 24) as u8
+    };
+    (0..length).map(|_| next()).collect()
+}
+
+#[test]
+fn a_new_link_goes_on_where_the_last_one_broke() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    world.agent.wait_samples(2);
+    world.agent.samples = false;
+    for (slot, id) in [(1, "ended"), (2, "unread")] {
+        balancer.send(&Request::new(slot, id));
+        assert_eq!(world.agent.expect("launch").0, id);
+    }
+    world.agent.cut();
+    world.agent.samples = true;
+    world.agent.linked();
+    assert_eq!(world.agent.subscribed, [0, 0]);
+    world.agent.greet_again();
+    // One run was read of and ended while there was no link; the other launch was never read.
+    world.agent.outcome("ended", "fine", b"r1");
+    let (id, command) = world.agent.expect("launch");
+    assert_eq!((id.as_str(), command["class"].as_str()), ("unread", Some("search")));
+    world.agent.outcome("unread", "fine", b"r2");
+    let (first, second) = (balancer.answer(), balancer.answer());
+    assert_eq!((first.slot, first.body.as_slice()), (1, &b"r1"[..]));
+    assert_eq!((second.slot, second.body.as_slice()), (2, &b"r2"[..]));
+}
+
+#[test]
+fn notices_seen_before_are_dropped_and_known_commands_are_not_repeated() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    world.agent.needs_call("a", b"x");
+    world.records.call().reply("200 OK", "", b"y");
+    world.agent.expect("deliver");
+    // The answer to a later sample shows that all of that has been read.
+    world.agent.wait_samples(3);
+    world.agent.cut();
+    world.agent.linked();
+    assert_eq!(world.agent.subscribed, [0, 1]);
+    world.agent.greet_again();
+    let body = common::balancer::base64(b"x");
+    world.agent.say(&serde_json::json!({"op": "request", "seq": 1, "id": "a", "body": body}));
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    // Neither the launch nor a second reply came on the new link: the next command is another request's.
+    balancer.send(&Request::new(1, "b"));
+    assert_eq!(world.agent.expect("launch").0, "b");
+}
+
+#[test]
+fn requests_that_come_without_a_link_are_launched_on_the_next() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    world.agent.cut();
+    world.agent.linked();
+    balancer.send(&Request::new(1, "a"));
+    // Checks are answered from the module's word meanwhile.
+    assert_eq!(world.balancer().ask(&Request::check(1, "")).status, 200);
+    world.agent.greet_again();
+    assert_eq!(world.agent.expect("launch").0, "a");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().status, 200);
+}
+
+#[test]
+fn bad_lines_from_the_agent_cost_the_link_and_nothing_else() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    let endless = vec![b'x'; 70_000];
+    for (slot, bad) in [(1, &b"nonsense\n"[..]), (2, b"{\"op\":\"outcome\"}\n"), (3, &endless)] {
+        let id = format!("r{slot}");
+        balancer.send(&Request::new(slot, &id));
+        assert_eq!(world.agent.expect("launch").0, id);
+        world.agent.wait_samples(3);
+        world.agent.say_bytes(bad);
+        world.agent.greet();
+        world.agent.outcome(&id, "fine", b"r");
+        assert_eq!(balancer.answer().status, 200);
+    }
+}
+
+#[test]
+fn bad_bytes_cost_their_connection_only() {
+    let mut world = World::up(|_| ());
+    let mut sound = world.balancer();
+    sound.send(&Request::new(1, "sound"));
+    world.agent.expect("launch");
+    for seed in 0..40 {
+        let mut stream = TcpStream::connect(world.listen).expect("connected");
+        let bytes = noise(seed, 600);
+        let sent = Request::new(2, &format!("bad{seed}")).bytes();
+        // Noise alone, a sound start cut off, and a sound start with noise behind it.
+        let _ = match seed % 3 {
+            0 => stream.write_all(&bytes),
+            1 => stream.write_all(&sent[..bytes[0] as usize % sent.len()]),
+            _ => stream.write_all(&[&sent[..sent.len() / 2], &bytes].concat()),
+        };
+    }
+    assert!(world.is_alive());
+    world.agent.outcome("sound", "fine", b"r");
+    assert_eq!(sound.answer().body, b"r");
+}
+
+#[test]
+fn requests_open_on_a_connection_that_turns_bad_are_still_answered() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    balancer.send_bytes(b"GET / HTTP/1.1\r\n\r\n");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert_eq!(balancer.try_answer(), None);
+}
+
+#[test]
+fn a_balancer_that_ends_its_side_still_gets_its_answers() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    balancer.stream.shutdown(std::net::Shutdown::Write).expect("shut");
+    world.agent.expect("launch");
+    world.agent.outcome("a", "fine", &[7; 4096]);
+    assert_eq!(balancer.answer().body, [7; 4096]);
+    assert_eq!(balancer.try_answer(), None);
+}
+
+#[test]
+fn an_aborted_request_ends_and_its_run_is_stopped() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    balancer.send_bytes(&record(2, 1, &[]));
+    assert_eq!(balancer.answer().status, 0);
+    assert_eq!(world.agent.expect("freeze").0, "a");
+    world.agent.outcome("a", "broken_off", b"");
+    // Its number serves another request, which gets only its own answer.
+    balancer.send(&Request::new(1, "b"));
+    let mut next = world.agent.command();
+    while next["op"] == "freeze" {
+        next = world.agent.command();
+    }
+    assert_eq!(next["id"], "b");
+    world.agent.outcome("b", "fine", b"rb");
+    assert_eq!(balancer.answer().body, b"rb");
+}
+
+#[test]
+fn more_open_requests_than_allowed_are_overloaded() {
+    let world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    for slot in 1..=33 {
+        balancer.send_bytes(&record(1, slot, &[0, 1, 1, 0, 0, 0, 0, 0]));
+    }
+    let answer = balancer.answer();
+    assert_eq!((answer.slot, answer.protocol_status), (33, 2));
+}
+
+#[test]
+fn a_full_table_of_connections_delays_nobody_who_is_in() {
+    let mut world = World::up(|config| config["limits"]["sockets"] = 64.into());
+    let mut first = world.balancer();
+    first.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    let crowd: Vec<TcpStream> =
+        (0..80).map(|_| TcpStream::connect(world.listen).expect("connected")).collect();
+    // Those in do nothing, so one after the other leaves its place.
+    let mut last = world.balancer();
+    assert_eq!(last.ask(&Request::check(1, "")).status, 200);
+    assert!(world.descriptors() <= 64, "{}", world.descriptors());
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(first.answer().body, b"r");
+    assert_eq!(world.announce.report(), "true");
+    drop(crowd);
+}
+
+#[test]
+fn a_peer_that_does_not_read_delays_nobody_else() {
+    let mut world = World::up(|_| ());
+    let mut deaf = world.balancer();
+    let check = Request::check(1, "").bytes();
+    deaf.stream.set_write_timeout(Some(std::time::Duration::from_millis(200))).expect("a time limit");
+    let flood: Vec<u8> = check.iter().copied().cycle().take(check.len() * 200).collect();
+    // Until nothing more goes in: its answers fill all there is between the two.
+    let mut sent = 0;
+    while sent < 64 << 20 && deaf.stream.write_all(&flood).is_ok() {
+        sent += flood.len();
+    }
+    let mut other = world.balancer();
+    assert_eq!(other.ask(&Request::check(1, "")).status, 200);
+    assert!(world.is_alive() && sent < 64 << 20);
+}
+
+#[test]
+fn a_leaving_server_answers_all_that_arrives_and_ends_well() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "before"));
+    world.agent.expect("launch");
+    world.terminate();
+    world.announce.expect("false");
+    balancer.send(&Request::new(2, "after"));
+    let mut fresh = world.balancer();
+    assert_eq!(fresh.ask(&Request::check(1, "full=1")).status, 500);
+    world.agent.outcome("before", "fine", b"r");
+    let mut answers = [balancer.answer(), balancer.answer()];
+    answers.sort_by_key(|a| a.slot);
+    assert_eq!((answers[0].status, answers[0].body.as_slice()), (200, &b"r"[..]));
+    // By the module's word, whatever it is: the run that it may have launched was never ended.
+    assert!(matches!(answers[1].status, 500 | 503), "{:?}", answers[1]);
+    assert!(world.ended().success());
+    assert_eq!(balancer.try_answer(), None);
+    assert!(TcpStream::connect(world.listen).is_err());
+}
+
+#[test]
+fn idle_connections_end_without_a_reset() {
+    let mut world = World::up(|_| ());
+    let mut idle = world.balancer();
+    assert_eq!(idle.ask(&Request::check(1, "")).status, 200);
+    world.terminate();
+    let mut rest = Vec::new();
+    assert_eq!(idle.stream.read_to_end(&mut rest).expect("no reset"), 0);
+    assert!(world.ended().success());
+}
+
+#[test]
+fn a_connection_without_keep_conn_is_closed_after_its_answer() {
+    let world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    let mut check = Request::check(1, "");
+    check.flags = 0;
+    assert_eq!(balancer.ask(&check).status, 200);
+    assert_eq!(balancer.try_answer(), None);
+}
+
+#[test]
+fn an_agent_that_comes_up_late_is_waited_for() {
+    let mut world = World::start(|_| ());
+    world.agent.linked();
+    eventually("the listening socket", || TcpStream::connect(world.listen).ok());
+    world.agent.greet_again();
+    assert_eq!(world.announce.report(), "true");
+    let mut balancer = Balancer::connect(world.listen);
+    balancer.send(&Request::new(1, "a"));
+    assert_eq!(world.agent.expect("launch").0, "a");
+}
