--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -99,6 +99,8 @@
         let shared = Shared {
             module: module.clone(),
             classes: Rc::new(config.classes.clone()),
+            connections: parts.connections,
+            serial: Rc::default(),
             budget: Budget::new(config.limits.memory / PEERS_SHARE),
             clock: clock.clone(),
             log: log.clone(),
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -65,8 +65,8 @@
     Request(Box<Request>),
     /// A health check has come.
     Check(Check),
-    /// Nobody waits for this request any more.
-    Gone(RequestId),
+    /// Nobody waits for the request of this name and serial any more.
+    Gone(RequestId, u64),
     /// The agent is up, since so long.
     Greeted(Micros),
     /// The link to the agent is lost.
@@ -93,7 +93,7 @@
     pub agent: Sender<Order>,
     /// The records service.
     pub records: Sender<records::Order>,
-    /// The list.
+    /// The list; its mailbox holds the newest word only.
     pub list: Sender<bool>,
     /// The front.
     pub front: Sender<front::Order>,
@@ -255,7 +255,7 @@
         match message {
             Message::Request(request) => self.arrived(now, *request),
             Message::Check(check) => self.check(now, check),
-            Message::Gone(id) => self.gone(&id),
+            Message::Gone(id, serial) => self.gone(&id, serial),
             Message::Greeted(since) => self.greet(now, since),
             Message::LinkLost => self.link_lost(),
             Message::Outcome(id, end, took) => self.ended(&id, end, took),
@@ -322,10 +322,11 @@
         }
     }
 
-    fn gone(&mut self, id: &str) {
-        let Some(open) = self.open.get(id) else { return };
-        open.reply_to = None;
-        let id = open.id.clone();
+    fn gone(&mut self, id: &str, serial: u64) {
+        // One that is answered, or another under the same name, is none of this caller's business.
+        let meant = |open: &&mut Open| open.reply_to.as_ref().is_some_and(|to| to.serial() == serial);
+        let Some(id) = self.open.get(id).filter(meant).map(|open| open.id.clone()) else { return };
+        self.answer(&id, Answer::Aborted);
         self.stop_call(&id);
         self.events.push(Event::Gone(id.clone()));
         self.sweep(&id);
@@ -342,7 +343,7 @@
         self.events = vec![Event::Timer(Gauges::default())];
         self.events.extend(self.stop_at.map(|at| Event::Leave(at.saturating_sub(now))));
         let _ = self.others.up.try_send(());
-        let _ = self.others.list.try_send(self.ready.unwrap_or(true));
+        let _ = self.others.list.force_send(self.ready.unwrap_or(true));
     }
 
     /// Answers to questions asked on the lost link will not come.
@@ -501,7 +502,7 @@
             Action::Join(id) => self.join(&id),
             Action::Ready(word) => {
                 self.ready = Some(word);
-                let _ = self.others.list.try_send(word);
+                let _ = self.others.list.force_send(word);
             }
             Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
             Action::CloseIdle(span) => drop(self.others.front.try_send(front::Order::CloseIdle(span))),
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -49,11 +49,16 @@
 pub struct ReplyTo {
     to: Sender<Word>,
     slot: u16,
-    /// Tells this request from a later one under the same number.
+    /// Tells this request from all others of this process.
     serial: u64,
 }
 
 impl ReplyTo {
+    /// What tells the request from all others of this process, whatever their names.
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
     /// Gives the answer. There is room for one for each open request; a connection that is gone has
     /// nobody left to hear it.
     pub fn answer(&self, answer: Answer) {
@@ -77,6 +82,10 @@
     pub module: Sender<Message>,
     /// Names of the classes, in their order.
     pub classes: Rc<Vec<String>>,
+    /// Most connections at once.
+    pub connections: usize,
+    /// The last serial that was given to a request.
+    pub serial: Rc<Cell<u64>>,
     /// The bound on memory.
     pub budget: Budget,
     /// The clock.
@@ -86,11 +95,19 @@
 }
 
 /// An open request, and its name if the module knows it.
+#[derive(Clone)]
 struct Pending {
     serial: u64,
     id: Option<RequestId>,
 }
 
+impl Pending {
+    /// What the module is told when nobody waits any more.
+    fn gone(self) -> Option<Message> {
+        self.id.map(|id| Message::Gone(id, self.serial))
+    }
+}
+
 /// The actor of one connection.
 pub struct Connection {
     stream: Async<TcpStream>,
@@ -101,7 +118,6 @@
     buffer: Buffer,
     responder: Responder,
     pending: BTreeMap<u16, Pending>,
-    serial: u64,
     charge: Charge,
     written: usize,
     /// The peer sends no more, or nothing of use.
@@ -121,6 +137,7 @@
         let charge = shared.budget.take(0)?;
         let progress = shared.clock.now();
         activity.last.set(progress);
+        let responder = Responder::new(shared.connections);
         let connection = Connection {
             stream,
             shared,
@@ -128,9 +145,8 @@
             words,
             me: me.clone(),
             buffer: Buffer::new(fastcgi::LARGEST),
-            responder: Responder::default(),
+            responder,
             pending: BTreeMap::new(),
-            serial: 0,
             charge,
             written: 0,
             deaf: false,
@@ -154,8 +170,8 @@
             Err(e) => debug!(self.shared.log, "connection lost"; "why" => %e),
         }
         // Nobody is left to hear the answers of what is still open.
-        for id in std::mem::take(&mut self.pending).into_values().filter_map(|p| p.id) {
-            if self.shared.module.send(Message::Gone(id)).await.is_err() {
+        for gone in std::mem::take(&mut self.pending).into_values().filter_map(Pending::gone) {
+            if self.shared.module.send(gone).await.is_err() {
                 return;
             }
         }
@@ -286,7 +302,10 @@
     fn answer(&mut self, slot: u16, serial: u64, answer: &Answer) {
         if self.pending.get(&slot).is_some_and(|p| p.serial == serial) {
             self.pending.remove(&slot);
-            self.responder.answer(slot, &answer.encode());
+            match answer {
+                Answer::Aborted => self.responder.end_aborted(slot),
+                answer => self.responder.answer(slot, &answer.encode()),
+            }
         }
     }
 
@@ -312,11 +331,14 @@
 
     async fn pass(&mut self, news: Incoming) {
         let message = match news {
-            Incoming::Abort(slot) => self.pending.remove(&slot).and_then(|p| p.id).map(Message::Gone),
+            // Its number stays taken until the module has let go: no more answers can be on their way than
+            // requests may be open.
+            Incoming::Abort(slot) => self.pending.get(&slot).cloned().and_then(Pending::gone),
             Incoming::Request { slot, params, body, too_long } => {
-                self.serial += 1;
-                self.pending.insert(slot, Pending { serial: self.serial, id: None });
-                self.read_request(slot, &params, body, too_long)
+                let serial = self.shared.serial.get() + 1;
+                self.shared.serial.set(serial);
+                self.pending.insert(slot, Pending { serial, id: None });
+                self.read_request((slot, serial), &params, body, too_long)
             }
         };
         if let Some(message) = message {
@@ -327,8 +349,13 @@
 
     /// The message for the module, unless the request is answered here: one that can't be understood, or
     /// for which there is no memory.
-    fn read_request(&mut self, slot: u16, params: &[u8], body: Vec<u8>, too_long: bool) -> Option<Message> {
-        let serial = self.serial;
+    fn read_request(
+        &mut self,
+        (slot, serial): (u16, u64),
+        params: &[u8],
+        body: Vec<u8>,
+        too_long: bool,
+    ) -> Option<Message> {
         let reply_to = ReplyTo { to: self.me.clone(), slot, serial };
         let asked = if too_long { Err("a request too long") } else { cgi::ask(params) };
         let work = match asked {
--- a/crates/server/src/peers/list.rs
+++ b/crates/server/src/peers/list.rs
@@ -11,8 +11,8 @@
 use super::{records, stream};
 use crate::wire::http;
 
-/// Words that may wait to be taken.
-pub const MAILBOX: usize = 64;
+/// Words that may wait to be taken: a newer one takes the place of one that was not taken yet.
+pub const MAILBOX: usize = 1;
 /// Time between reports; an entry lapses 3 s after the last.
 const EVERY: Duration = Duration::from_millis(700);
 /// Time for one report, and between a failed one and the next try.
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -94,6 +94,8 @@
     Senseless,
     /// A health check: good or bad.
     Health(bool),
+    /// The balancer has given it up: it ends without a word.
+    Aborted,
 }
 
 impl Answer {
@@ -111,7 +113,7 @@
                 }
                 ("503 Service Unavailable", more, b"")
             }
-            Answer::Failed => ("500 Internal Server Error", String::new(), b""),
+            Answer::Failed | Answer::Aborted => ("500 Internal Server Error", String::new(), b""),
             Answer::Senseless => ("400 Bad Request", String::new(), b""),
             Answer::Health(true) => ("200 OK", String::new(), b""),
             Answer::Health(false) => ("500 Internal Server Error", String::new(), b""),
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -62,6 +62,7 @@
 /// The requests under way on one connection, and the bytes to be written on it.
 #[derive(Default)]
 pub struct Responder {
+    connections: usize,
     slots: BTreeMap<u16, Slot>,
     /// What is to be written to the peer.
     pub out: Vec<u8>,
@@ -69,6 +70,11 @@
 }
 
 impl Responder {
+    /// For one of so many connections.
+    pub fn new(connections: usize) -> Responder {
+        Responder { connections, ..Responder::default() }
+    }
+
     /// Takes the first record off `bytes`: how many bytes it took (0: it is not yet whole) and what came
     /// of it.
     pub fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Incoming>), Malformed> {
@@ -152,11 +158,20 @@
         Ok(())
     }
 
+    /// Ends a request that the balancer has given up, without a word of an answer.
+    pub fn end_aborted(&mut self, slot: u16) {
+        if self.end(slot) {
+            fastcgi::write_end(&mut self.out, slot, 1, Status::Complete);
+        }
+    }
+
+    /// One that has not come whole ends here; of the others somebody else knows, and has to let go first.
     fn abort(&mut self, slot: u16) -> Option<Incoming> {
-        let whole = self.slots.get(&slot)?.whole;
-        self.end(slot);
-        fastcgi::write_end(&mut self.out, slot, 1, Status::Complete);
-        whole.then_some(Incoming::Abort(slot))
+        if self.slots.get(&slot)?.whole {
+            return Some(Incoming::Abort(slot));
+        }
+        self.end_aborted(slot);
+        None
     }
 
     fn stream(&mut self, kind: u8, slot: u16, content: &[u8]) -> Option<Incoming> {
@@ -178,8 +193,8 @@
         let mut answer = Vec::new();
         for (name, _) in fastcgi::pairs(content)? {
             let value = match name {
-                b"FCGI_MAX_CONNS" => "512".to_owned(),
-                b"FCGI_MAX_REQS" => (512 * OPEN).to_string(),
+                b"FCGI_MAX_CONNS" => self.connections.to_string(),
+                b"FCGI_MAX_REQS" => (self.connections * OPEN).to_string(),
                 b"FCGI_MPXS_CONNS" => "1".to_owned(),
                 _ => continue,
             };
--- a/crates/server/tests/rules.rs
+++ b/crates/server/tests/rules.rs
@@ -214,6 +214,39 @@
     assert!(world.is_alive() && sent < 64 << 20);
 }
 
+#[test]
+fn half_sent_requests_stay_within_the_memory_limit() {
+    let mut world = World::up(|config| config["limits"]["memory_mb"] = 32.into());
+    let before = world.memory_kb();
+    let half: Vec<u8> = (1..=32)
+        .flat_map(|slot| [record(1, slot, &[0, 1, 1, 0, 0, 0, 0, 0]), record(4, slot, &[0; 16_000])].concat())
+        .collect();
+    // Ten times as much as may be held; some of it may be turned away while it is sent.
+    let mut crowd = Vec::new();
+    for _ in 0..300 {
+        let mut stream = TcpStream::connect(world.listen).expect("connected");
+        let _ = stream.write_all(&half);
+        crowd.push(stream);
+    }
+    let mut other = world.balancer();
+    assert_eq!(other.ask(&Request::check(1, "")).status, 200);
+    assert!(world.memory_kb() - before < 32 * 1024, "{} KB", world.memory_kb());
+    assert!(world.is_alive());
+}
+
+#[test]
+fn a_name_in_use_cannot_be_used_to_end_the_request_that_has_it() {
+    let mut world = World::up(|_| ());
+    let (mut owner, mut other) = (world.balancer(), world.balancer());
+    owner.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    other.send_bytes(&[Request::new(1, "a").bytes(), record(2, 1, &[])].concat());
+    assert!(matches!(other.answer().status, 0 | 400));
+    drop(other);
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(owner.answer().body, b"r");
+}
+
 #[test]
 fn a_leaving_server_answers_all_that_arrives_and_ends_well() {
     let mut world = World::up(|_| ());
@@ -268,3 +301,28 @@
     balancer.send(&Request::new(1, "a"));
     assert_eq!(world.agent.expect("launch").0, "a");
 }
+
+#[test]
+fn a_standstill_of_the_machine_costs_no_peer_its_connection() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    world.agent.needs_call("a", b"x");
+    let mut call = world.records.call();
+    world.signal("STOP");
+    // What its peers do meanwhile is there when it goes on, as are all the timers that came due.
+    call.reply("200 OK", "", b"y");
+    balancer.send(&Request::new(2, "b"));
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    world.signal("CONT");
+    let mut commands = [world.agent.command(), world.agent.command()];
+    commands.sort_by_key(|c| c["op"].as_str().map(String::from));
+    assert_eq!((&commands[0]["op"], &commands[0]["id"]), (&"deliver".into(), &"a".into()));
+    assert_eq!((&commands[1]["op"], &commands[1]["id"]), (&"launch".into(), &"b".into()));
+    for id in ["a", "b"] {
+        world.agent.outcome(id, "fine", id.as_bytes());
+        assert_eq!(balancer.answer().body, id.as_bytes());
+    }
+    assert_eq!(world.agent.subscribed, [0]);
+}
