--- a/crates/server/src/lifecycle/phase.rs
+++ b/crates/server/src/lifecycle/phase.rs
@@ -59,7 +59,7 @@
     pub fn leave(&mut self, now: Micros, span: Micros) -> bool {
         let first = self.stop.is_none();
         if first {
-            self.stop = Some(now + span);
+            self.stop = Some(now.saturating_add(span));
             self.enter(Phase::Leaving);
         }
         first
--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -6,6 +6,7 @@
 use umberloom::interface::{Micros, RequestId};
 
 use super::budget::Charge;
+use super::keys::Subject;
 use crate::peers::balancer::ReplyTo;
 use crate::wire::cgi::Work;
 
@@ -52,12 +53,21 @@
     pub halting: bool,
     /// The call that its run waits for.
     pub call: Option<Call>,
-    /// The request by whose result it is to be answered.
-    pub joins: Option<RequestId>,
+    /// The kept request that it repeats.
+    pub repeats: Option<RequestId>,
+    /// It waits for the result of that request.
+    pub joined: bool,
     /// The memory that it takes, given back with it.
     pub _charge: Charge,
 }
 
+impl Open {
+    /// What it is about, if it is about anything.
+    pub fn subject(&self) -> Option<Subject> {
+        self.work.key.clone().map(|key| (self.class, key))
+    }
+}
+
 /// All open requests.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -84,6 +94,12 @@
         self.all.remove(id);
     }
 
+    /// How many there are.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
     /// Requests that were to be answered before `time` and are not.
     pub fn overdue(&self, time: Micros) -> Vec<RequestId> {
         let late = self.all.values().filter(|o| o.reply_to.is_some() && o.work.waits(time) == 0);
@@ -92,7 +108,7 @@
 
     /// Requests that wait for the result of this one.
     pub fn joined_to(&self, id: &str) -> Vec<RequestId> {
-        let joined = self.all.values().filter(|o| o.joins.as_deref() == Some(id));
+        let joined = self.all.values().filter(|o| o.joined && o.repeats.as_deref() == Some(id));
         joined.map(|o| o.id.clone()).collect()
     }
 }
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -14,7 +14,7 @@
 
 use crate::lifecycle::clock::Clock;
 use crate::memory::budget::Charge;
-use crate::memory::keys::{Keys, Subject};
+use crate::memory::keys::Keys;
 use crate::memory::open::{Call, Open, Run, Table};
 use crate::peers::balancer::ReplyTo;
 use crate::peers::journal::Order;
@@ -269,23 +269,20 @@
             Message::AgentRefused(command, id) => self.agent_refused(&command, &id),
             Message::Called(id, outcome, took, body) => self.called(id, outcome, took, body),
             Message::Leave(span) => {
-                self.stop_at = Some(now + span);
+                self.stop_at = Some(now.saturating_add(span));
                 self.events.push(Event::Leave(span));
             }
         }
     }
 
-    fn subject(&self, class: usize, work: &Work) -> Option<Subject> {
-        work.key.clone().map(|key| (class, key))
-    }
-
     fn arrived(&mut self, now: Micros, request: Request) {
         let Request { id, class, work, body, reply_to, charge } = request;
         if self.server.is_none() {
             // Nothing can run before the agent is up.
             return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
         }
-        let repeats = self.subject(class, &work).and_then(|s| self.keys.find(&s, now));
+        let subject = work.key.clone().map(|key| (class, key));
+        let repeats = subject.and_then(|subject| self.keys.find(&subject, now));
         let arrival = Arrival {
             id: id.clone(),
             class,
@@ -310,7 +307,8 @@
             ran: false,
             halting: false,
             call: None,
-            joins: arrival.repeats.clone(),
+            repeats: arrival.repeats.clone(),
+            joined: false,
             _charge: charge,
         };
         match self.open.insert(Box::new(open)) {
@@ -399,33 +397,28 @@
             }
         }
         self.events.push(Event::Ended(id.clone(), outcome, took));
-        if !matches!(outcome, Outcome::Ok | Outcome::Stopped) {
-            self.end_joined(&id, None, took);
-        }
         self.sweep(&id);
     }
 
     fn answered_well(&mut self, id: &RequestId, result: Vec<u8>) {
-        if let Some(open) = self.open.get(id) {
-            if let Some(key) = open.work.key.clone() {
-                self.keys.add_result(&(open.class, key), id, &result);
-            }
+        if let Some(subject) = self.open.get(id).and_then(|open| open.subject()) {
+            self.keys.add_result(&subject, id, &result);
+        }
+        for joined in self.open.joined_to(id) {
+            self.end_joined(&joined, Some(&result));
         }
-        self.end_joined(id, Some(&result), 0);
         self.answer(id, Answer::Served(result));
     }
 
-    /// Answers the requests that wait for the result of this one.
-    fn end_joined(&mut self, id: &RequestId, result: Option<&[u8]>, took: Micros) {
-        for joined in self.open.joined_to(id) {
-            let (answer, outcome) = match result {
-                Some(result) => (Answer::Served(result.to_vec()), Outcome::Ok),
-                None => (Answer::Failed, Outcome::Error),
-            };
-            self.answer(&joined, answer);
-            self.later.push_back(Event::Ended(joined.clone(), outcome, took));
-            self.sweep(&joined);
-        }
+    /// Answers a request that waits for the result of another.
+    fn end_joined(&mut self, id: &RequestId, result: Option<&[u8]>) {
+        let (answer, outcome) = match result {
+            Some(result) => (Answer::Served(result.to_vec()), Outcome::Ok),
+            None => (Answer::Failed, Outcome::Error),
+        };
+        self.answer(id, answer);
+        self.later.push_back(Event::Ended(id.clone(), outcome, 0));
+        self.sweep(id);
     }
 
     fn needs_call(&mut self, id: &str, seq: u64, body: Vec<u8>) {
@@ -470,10 +463,13 @@
         }
     }
 
-    /// Forgets a request of which nothing is left.
+    /// Forgets a request of which nothing is left. Who still waits for its result does so in vain.
     fn sweep(&mut self, id: &str) {
         if self.open.get(id).is_some_and(|o| o.reply_to.is_none() && o.run != Run::Going) {
             self.open.remove(id);
+            for joined in self.open.joined_to(id) {
+                self.end_joined(&joined, None);
+            }
         }
     }
 
@@ -559,30 +555,26 @@
     }
 
     fn keep(&mut self, id: &RequestId, until: Micros) {
-        let Some(open) = self.open.get(id) else { return };
-        if let Some(key) = open.work.key.clone() {
-            self.keys.keep((open.class, key), id.clone(), until);
-        }
+        let Some(subject) = self.open.get(id).and_then(|open| open.subject()) else { return };
+        self.keys.keep(subject, id.clone(), until);
     }
 
     fn forget(&mut self, id: &RequestId) {
-        let Some(open) = self.open.get(id) else { return };
-        if let Some(key) = open.work.key.clone() {
-            self.keys.forget(&(open.class, key), id);
-        }
+        let Some(subject) = self.open.get(id).and_then(|open| open.subject()) else { return };
+        self.keys.forget(&subject, id);
     }
 
     /// The result may be there already; else the request waits for it.
     fn join(&mut self, id: &RequestId) {
-        let Some(other) = self.open.get(id).and_then(|open| open.joins.clone()) else { return };
+        let Some(open) = self.open.get(id) else { return };
+        let Some(other) = open.repeats.clone() else { return };
+        open.joined = true;
         let result = self.keys.result(&other).map(<[u8]>::to_vec);
-        if result.is_none() && self.open.get(&other).is_some() {
-            return;
+        if result.is_some() || self.open.get(&other).is_none() {
+            self.end_joined(id, result.as_deref());
         }
-        let (answer, outcome) =
-            result.map_or((Answer::Failed, Outcome::Error), |r| (Answer::Served(r), Outcome::Ok));
-        self.answer(id, answer);
-        self.later.push_back(Event::Ended(id.clone(), outcome, 0));
-        self.sweep(id);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/module/tests.rs
@@ -0,0 +1,349 @@
+//! What comes of each action and message, without any socket. The module's own decisions are left out: events
+//! that would go to it are looked at instead.
+
+use super::*;
+use crate::memory::budget::Budget;
+use crate::peers::balancer::Word;
+
+/// A module with the far ends of all its mailboxes.
+struct Bench {
+    module: Module,
+    agent: Receiver<Order>,
+    records: Receiver<records::Order>,
+    list: Receiver<bool>,
+    front: Receiver<front::Order>,
+    words: Receiver<Word>,
+    me: Sender<Word>,
+    serial: u64,
+}
+
+const NOW: Micros = 1_764_576_000_000_000;
+
+fn settings(halt: Halt) -> Settings {
+    let text = include_str!("../../../../deploy/example.json");
+    let config = crate::lifecycle::config::Config::parse(text.as_bytes()).expect("a sound example");
+    Settings { halt, ..config.settings }
+}
+
+fn bench(halt: Halt) -> Bench {
+    let (agent, agent_end) = async_channel::bounded(64);
+    let (records, records_end) = async_channel::bounded(64);
+    let (list, list_end) = async_channel::bounded(1);
+    let (front, front_end) = async_channel::bounded(64);
+    let (me, words) = async_channel::bounded(64);
+    let others = Others { agent, records, list, front, up: async_channel::bounded(1).0 };
+    let log = Logger::root(slog::Discard, slog::o!());
+    let told = (settings(halt), GaugeNames::default());
+    let mut module = Module::new(told, async_channel::bounded(1).1, others, Clock::default(), log);
+    module.greet(NOW, 0);
+    module.events.clear();
+    let ends = (agent_end, records_end, list_end, front_end);
+    let mut bench =
+        Bench { module, agent: ends.0, records: ends.1, list: ends.2, front: ends.3, words, me, serial: 0 };
+    assert_eq!(bench.list(), [true]);
+    bench
+}
+
+fn all<T>(end: &Receiver<T>) -> Vec<T> {
+    std::iter::from_fn(|| end.try_recv().ok()).collect()
+}
+
+impl Bench {
+    fn request(&mut self, id: &str, key: Option<&str>) {
+        self.serial += 1;
+        let work = Work {
+            id: id.to_owned(),
+            class: "desk-search".to_owned(),
+            received: NOW - 1_000,
+            budget: 500_000,
+            sender: 4,
+            held_kb: 20.0,
+            rank: 0.5,
+            key: key.map(String::from),
+        };
+        let reply_to = ReplyTo::new(self.me.clone(), 1, self.serial);
+        let charge = Budget::new(1).take(0).expect("nothing");
+        let request = Request { id: id.into(), class: 0, work, body: b"body".to_vec(), reply_to, charge };
+        self.module.take(NOW, Message::Request(Box::new(request)));
+    }
+
+    fn act(&mut self, action: Action) {
+        self.module.carry_out(NOW, action);
+    }
+
+    fn hear(&mut self, message: Message) {
+        self.module.take(NOW, message);
+    }
+
+    /// Answers given since the last look, by serial.
+    fn answers(&self) -> Vec<(u64, Answer)> {
+        let answer = |word| match word {
+            Word::Answer(_, serial, answer) => (serial, answer),
+            other => panic!("{other:?}"),
+        };
+        all(&self.words).into_iter().map(answer).collect()
+    }
+
+    /// Events that the module would be told, the ones put off included.
+    fn events(&mut self) -> Vec<String> {
+        let later = std::mem::take(&mut self.module.later);
+        self.module.events.drain(..).chain(later).map(|e| format!("{e:?}")).collect()
+    }
+
+    fn orders(&self) -> Vec<Order> {
+        all(&self.agent)
+    }
+
+    fn list(&mut self) -> Vec<bool> {
+        all(&self.list)
+    }
+
+    fn launched(&mut self, id: &str) {
+        self.request(id, None);
+        self.act(Action::Admit(id.into()));
+        assert!(matches!(self.orders().as_slice(), [Order::Launch(..)]));
+        self.events();
+    }
+}
+
+fn outcome(id: &str, end: RunEnd) -> Message {
+    Message::Outcome(id.to_owned(), end, 9)
+}
+
+#[test]
+fn an_arrival_counts_the_time_it_spent_unread() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", None);
+    let [Event::Arrived(arrival)] = bench.module.events.as_slice() else { panic!("one event") };
+    assert_eq!((arrival.queued, arrival.waits, arrival.caller), (1_000, Some(499_000), 4));
+}
+
+#[test]
+fn a_run_that_went_well_is_answered_and_told() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    bench.hear(outcome("a", RunEnd::Fine(b"r".to_vec())));
+    assert_eq!(bench.answers(), [(1, Answer::Served(b"r".to_vec()))]);
+    assert_eq!(bench.events(), [r#"Ended("a", Ok, 9)"#]);
+    assert_eq!(bench.module.open.len(), 0);
+}
+
+#[test]
+fn what_has_run_is_failed_where_it_would_be_refused() {
+    let mut bench = bench(Halt::Drop);
+    bench.request("held", None);
+    bench.act(Action::Refuse { id: "held".into(), stay_away: 5, terminal: true });
+    bench.launched("ran");
+    bench.act(Action::Halt("ran".into()));
+    bench.hear(outcome("ran", RunEnd::BrokenOff));
+    bench.act(Action::Refuse { id: "ran".into(), stay_away: 0, terminal: false });
+    let refused = Answer::Refused { stay_away: 5, terminal: true };
+    assert_eq!(bench.answers(), [(1, refused), (2, Answer::Failed)]);
+    assert_eq!(bench.module.open.len(), 0);
+}
+
+#[test]
+fn a_paused_run_goes_on_and_a_dropped_one_begins_again() {
+    for (halt, again) in [
+        (Halt::Pause, Order::Thaw("a".into())),
+        (Halt::Drop, Order::Launch("a".into(), "desk-search".into(), b"body".to_vec())),
+    ] {
+        let mut bench = bench(halt);
+        bench.launched("a");
+        bench.act(Action::Halt("a".into()));
+        assert_eq!(bench.orders(), [Order::Freeze("a".into())]);
+        // While the stop is not confirmed it still runs.
+        bench.act(Action::Admit("a".into()));
+        assert_eq!(bench.orders(), []);
+        bench.hear(outcome("a", RunEnd::BrokenOff));
+        assert_eq!(bench.events(), [r#"Ended("a", Stopped, 9)"#]);
+        assert_eq!(bench.answers(), []);
+        bench.act(Action::Admit("a".into()));
+        assert_eq!(bench.orders(), [again]);
+    }
+}
+
+#[test]
+fn a_run_that_others_stopped_is_failed() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    bench.hear(outcome("a", RunEnd::BrokenOff));
+    assert_eq!(bench.answers(), [(1, Answer::Failed)]);
+    assert_eq!(bench.module.open.len(), 0);
+}
+
+#[test]
+fn work_goes_on_after_a_final_answer_until_its_outcome() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    bench.act(Action::Fail("a".into()));
+    bench.act(Action::Halt("a".into()));
+    assert_eq!((bench.orders(), bench.module.open.len()), (vec![Order::Freeze("a".into())], 1));
+    bench.hear(outcome("a", RunEnd::Fine(b"late".to_vec())));
+    assert_eq!(bench.answers(), [(1, Answer::Failed)]);
+    assert_eq!((bench.events(), bench.module.open.len()), (vec![r#"Ended("a", Ok, 9)"#.to_owned()], 0));
+}
+
+#[test]
+fn what_the_module_lost_sight_of_is_answered_when_overdue() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", None);
+    bench.module.answer_overdue(NOW + 499_000);
+    assert_eq!(bench.answers(), []);
+    bench.module.answer_overdue(NOW + 499_000 + 60_000);
+    assert_eq!(bench.answers(), [(1, Answer::Failed)]);
+    assert!(bench.events().contains(&r#"Gone("a")"#.to_owned()));
+}
+
+#[test]
+fn calls_are_made_delivered_given_up_and_left_out() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    let calls = |bench: &Bench| all(&bench.records).into_iter().map(|o| format!("{o:?}")).collect::<Vec<_>>();
+    bench.hear(Message::NeedsCall("a".into(), 7, b"c".to_vec()));
+    bench.act(Action::Call("a".into(), 50));
+    assert_eq!(calls(&bench), [r#"Call("a", [99], 50)"#]);
+    bench.hear(Message::Called("a".into(), Outcome::Cut, 3, vec![]));
+    bench.act(Action::Call("a".into(), 60));
+    bench.hear(Message::Called("a".into(), Outcome::Ok, 3, b"reply".to_vec()));
+    assert_eq!(bench.orders(), [Order::Deliver("a".into(), b"reply".to_vec())]);
+    let told = [r#"NeedsCall("a")"#, r#"Called("a", Cut, 3)"#, r#"Called("a", Ok, 3)"#];
+    assert_eq!(bench.events(), told);
+    // A call that nobody makes any more says nothing.
+    bench.hear(Message::Called("a".into(), Outcome::Ok, 3, vec![]));
+    assert_eq!((bench.orders(), bench.events().len()), (vec![], 0));
+    calls(&bench);
+    bench.hear(Message::NeedsCall("a".into(), 8, b"d".to_vec()));
+    bench.act(Action::Call("a".into(), 70));
+    bench.act(Action::SkipCall("a".into()));
+    assert_eq!(calls(&bench), [r#"Call("a", [100], 70)"#, r#"GiveUp("a")"#]);
+    assert_eq!(bench.orders(), [Order::Forgo("a".into(), 8)]);
+    bench.hear(Message::NeedsCall("a".into(), 9, b"e".to_vec()));
+    bench.act(Action::Call("a".into(), 70));
+    bench.act(Action::Fail("a".into()));
+    assert_eq!(calls(&bench), [r#"Call("a", [101], 70)"#, r#"GiveUp("a")"#]);
+}
+
+#[test]
+fn repeats_are_answered_from_kept_results() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", Some("k"));
+    bench.act(Action::Keep("a".into(), 1_000_000));
+    bench.act(Action::Admit("a".into()));
+    bench.request("b", Some("k"));
+    let Some(Event::Arrived(arrival)) = bench.module.events.last() else { panic!("an arrival") };
+    assert_eq!(arrival.repeats.as_deref(), Some("a"));
+    bench.act(Action::Join("b".into()));
+    assert_eq!(bench.answers(), []);
+    bench.hear(outcome("a", RunEnd::Fine(b"r".to_vec())));
+    // And one that comes after it has ended.
+    bench.request("c", Some("k"));
+    bench.act(Action::Join("c".into()));
+    let served = |serial| (serial, Answer::Served(b"r".to_vec()));
+    assert_eq!(bench.answers(), [served(2), served(1), served(3)]);
+    assert!(bench.events().contains(&r#"Ended("c", Ok, 0)"#.to_owned()));
+    assert_eq!(bench.orders().len(), 1);
+}
+
+#[test]
+fn repeats_of_what_never_ran_or_was_forgotten_fail_or_start_anew() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", Some("k"));
+    bench.act(Action::Keep("a".into(), 1_000_000));
+    bench.request("b", Some("k"));
+    bench.act(Action::Join("b".into()));
+    bench.act(Action::Refuse { id: "a".into(), stay_away: 0, terminal: false });
+    assert_eq!(bench.answers().last(), Some(&(2, Answer::Failed)));
+    assert!(bench.events().contains(&r#"Ended("b", Error, 0)"#.to_owned()));
+    bench.request("c", Some("k2"));
+    bench.act(Action::Keep("c".into(), 1_000_000));
+    bench.act(Action::Forget("c".into()));
+    bench.request("d", Some("k2"));
+    let Some(Event::Arrived(arrival)) = bench.module.events.last() else { panic!("an arrival") };
+    assert_eq!(arrival.repeats, None);
+}
+
+#[test]
+fn outward_words_reach_the_list_the_front_and_checks() {
+    let mut bench = bench(Halt::Pause);
+    bench.act(Action::Ready(false));
+    bench.act(Action::Ready(true));
+    bench.act(Action::Ready(false));
+    // Only the newest word matters.
+    assert_eq!(bench.list(), [false]);
+    bench.act(Action::CloseIdle(70));
+    assert!(matches!(all(&bench.front).as_slice(), [front::Order::CloseIdle(70)]));
+    let reply_to = ReplyTo::new(bench.me.clone(), 1, 50);
+    bench.hear(Message::Check(Check { full: true, reply_to }));
+    assert_eq!(bench.answers(), [(50, Answer::Health(false))]);
+}
+
+#[test]
+fn a_timer_asks_for_gauges_and_comes_without_them_in_the_end() {
+    let mut bench = bench(Halt::Pause);
+    bench.act(Action::Wake(20_000));
+    bench.module.pass_time(NOW + 19_999);
+    assert_eq!(bench.orders(), []);
+    // However late it is looked at, it comes once.
+    bench.module.pass_time(NOW + 900_000);
+    let [Order::Sample(tag)] = bench.orders()[..] else { panic!("a sample") };
+    bench.hear(Message::Sampled(tag + 1, vec![]));
+    assert_eq!(bench.events().len(), 0);
+    bench.hear(Message::Sampled(tag, vec![]));
+    bench.module.pass_time(NOW + 990_000);
+    assert_eq!(bench.events().len(), 1);
+    bench.act(Action::Wake(20_000));
+    bench.module.pass_time(NOW + 20_000);
+    bench.module.pass_time(NOW + 20_000 + GAUGE_WAIT);
+    assert_eq!(bench.events().len(), 1);
+}
+
+#[test]
+fn deep_checks_end_with_their_work_their_time_or_their_link() {
+    let mut bench = bench(Halt::Pause);
+    let check = |bench: &mut Bench, serial| {
+        let reply_to = ReplyTo::new(bench.me.clone(), 1, serial);
+        bench.hear(Message::Check(Check { full: true, reply_to }));
+        let [Order::Exercise(tag)] = bench.orders()[..] else { panic!("an exercise") };
+        tag
+    };
+    let tag = check(&mut bench, 1);
+    bench.hear(Message::Exercised(tag, true));
+    check(&mut bench, 2);
+    bench.module.pass_time(NOW + CHECK_WAIT);
+    check(&mut bench, 3);
+    bench.hear(Message::LinkLost);
+    let answers = [(1, Answer::Health(true)), (2, Answer::Health(false)), (3, Answer::Health(false))];
+    assert_eq!(bench.answers(), answers);
+}
+
+#[test]
+fn a_refused_command_fails_its_request_but_a_refused_stop_does_not() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    bench.hear(Message::AgentRefused("freeze".into(), "a".into()));
+    assert_eq!(bench.answers(), []);
+    bench.hear(Message::AgentRefused("launch".into(), "a".into()));
+    assert_eq!(bench.answers(), [(1, Answer::Failed)]);
+    assert_eq!(bench.events(), [r#"Ended("a", Error, 0)"#]);
+}
+
+#[test]
+fn only_the_one_who_waits_can_give_a_request_up() {
+    let mut bench = bench(Halt::Pause);
+    bench.launched("a");
+    bench.hear(Message::Gone("a".into(), 99));
+    assert_eq!((bench.answers(), bench.events().len()), (vec![], 0));
+    bench.hear(Message::Gone("a".into(), 1));
+    assert_eq!(bench.answers(), [(1, Answer::Aborted)]);
+    assert_eq!(bench.events(), [r#"Gone("a")"#]);
+}
+
+#[test]
+fn a_notice_that_comes_before_the_agent_is_not_forgotten() {
+    let mut bench = bench(Halt::Pause);
+    bench.module.server = None;
+    bench.hear(Message::Leave(1_000_000));
+    bench.module.greet(NOW + 400_000, 0);
+    assert!(bench.events().contains(&"Leave(600000)".to_owned()));
+}
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -54,6 +54,11 @@
 }
 
 impl ReplyTo {
+    /// The place of request `slot` on the connection with this mailbox.
+    pub fn new(to: Sender<Word>, slot: u16, serial: u64) -> ReplyTo {
+        ReplyTo { to, slot, serial }
+    }
+
     /// What tells the request from all others of this process, whatever their names.
     pub fn serial(&self) -> u64 {
         self.serial
@@ -356,10 +361,15 @@
         body: Vec<u8>,
         too_long: bool,
     ) -> Option<Message> {
-        let reply_to = ReplyTo { to: self.me.clone(), slot, serial };
+        let reply_to = ReplyTo::new(self.me.clone(), slot, serial);
         let asked = if too_long { Err("a request too long") } else { cgi::ask(params) };
         let work = match asked {
             Ok(Ask::Health(full)) => return Some(Message::Check(Check { full, reply_to })),
+            Ok(Ask::Work(work)) if !work.is_timely(self.shared.clock.now()) => {
+                debug!(self.shared.log, "a request from another time"; "received" => work.received);
+                self.answer(slot, serial, &Answer::Senseless);
+                return None;
+            }
             Ok(Ask::Work(work)) => work,
             Err(why) => {
                 debug!(self.shared.log, "a request without sense"; "why" => why);
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -8,6 +8,10 @@
 /// Path of health checks.
 const HEALTH: &str = "/status/live";
 
+/// Times of arrival and budgets further off than this make no sense, and would spoil what the module knows of
+/// waits: an hour.
+const FAR: Micros = 3_600_000_000;
+
 /// What a balancer asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
@@ -39,6 +43,11 @@
 }
 
 impl Work {
+    /// Whether its times can be meant by anyone whose clock reads `now`.
+    pub fn is_timely(&self, now: Micros) -> bool {
+        self.received.abs_diff(now) <= FAR && self.budget <= FAR
+    }
+
     /// How long its caller still waits.
     pub fn waits(&self, now: Micros) -> Micros {
         self.received.saturating_add(self.budget).saturating_sub(now)
@@ -70,7 +79,7 @@
         received: millis("HTTP_RECEIVED_AT").ok_or("no time of arrival")?,
         budget: millis("HTTP_BUDGET_MS").ok_or("no budget")?,
         sender: get("HTTP_SENT_BY").and_then(|v| v.trim().parse().ok()).ok_or("no sender")?,
-        held_kb: number("HTTP_FOOTPRINT_KB").filter(|&n| n > 0.0).ok_or("no footprint")?,
+        held_kb: number("HTTP_FOOTPRINT_KB").filter(|&n| n > 0.0 && n < 2_000.0).ok_or("no footprint")?,
         rank: number("HTTP_PRIORITY_RANK").filter(|n| (0.0..1.0).contains(n)).ok_or("no rank")?,
         key: get("HTTP_RESOURCE_KEY").filter(|k| !k.is_empty()).map(String::from),
     }))
@@ -170,6 +179,7 @@
             ("HTTP_SENT_BY", "x", "no sender"),
             ("HTTP_FOOTPRINT_KB", "NaN", "no footprint"),
             ("HTTP_FOOTPRINT_KB", "0", "no footprint"),
+            ("HTTP_FOOTPRINT_KB", "2000", "no footprint"),
             ("HTTP_PRIORITY_RANK", "1", "no rank"),
             ("REQUEST_METHOD", "GET", "not a POST"),
             ("SCRIPT_NAME", "/else", "an unknown path"),
@@ -181,6 +191,15 @@
         assert!(ask(&[9, 9]).is_err());
     }
 
+    #[test]
+    fn times_far_off_make_no_sense() {
+        let Ok(Ask::Work(work)) = ask(&params(|_| None)) else { panic!("work") };
+        assert!(work.is_timely(work.received) && work.is_timely(work.received + FAR));
+        assert!(work.is_timely(work.received - FAR) && !work.is_timely(work.received + FAR + 1));
+        assert!(!work.is_timely(0));
+        assert!(!Work { budget: FAR + 1, ..work }.is_timely(1_764_576_000_123_000));
+    }
+
     #[test]
     fn health_checks_may_ask_for_work() {
         let check = |query: &str| {
