--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -15,6 +15,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::Logger;
+use umberloom::interface::Micros;
 
 use crate::memory::budget::Budget;
 use crate::module::{self, Message, Module, Others};
@@ -61,6 +62,18 @@
     Ok(())
 }
 
+/// What may change the phase.
+enum Next {
+    /// The agent is up.
+    Up,
+    /// Notice to leave.
+    Notice,
+    /// The next phase may be due.
+    Time,
+    /// The last connection is closed.
+    Empty,
+}
+
 /// The running program, as the one who starts and ends it sees it.
 struct Program {
     module: Sender<Message>,
@@ -113,56 +126,48 @@
     }
 
     /// Passes through the phases up to the end.
-    async fn live(self, mut life: Life, mut notices: Notices, stop: u64) {
-        enum Next {
-            Up,
-            Notice,
-            Time,
-            Empty,
-        }
-        let Program { module, front, up, mut connections, clock } = self;
+    async fn live(mut self, mut life: Life, mut notices: Notices, stop: u64) {
         while life.phase() != Phase::Ended {
-            let at = life.next_at();
-            let is_up = async {
-                match up.recv().await {
-                    Ok(()) => Next::Up,
-                    Err(_) => future::pending().await,
-                }
-            };
-            let notice = async {
-                notices.next().await;
-                Next::Notice
-            };
-            let time = async {
-                match at {
-                    Some(at) => {
-                        let left = at.saturating_sub(clock.now());
-                        Timer::after(Duration::from_micros(left)).await;
-                    }
-                    None => future::pending().await,
-                }
-                Next::Time
-            };
-            let empty = async {
-                (&mut connections).await;
-                Next::Empty
-            };
-            match future::or(is_up, future::or(notice, future::or(time, empty))).await {
+            match self.next(life.next_at(), &mut notices).await {
                 Next::Up => life.enter(Phase::Serving),
-                Next::Notice => {
-                    if life.leave(clock.now(), stop) {
-                        let _ = module.send(Message::Leave(stop)).await;
-                    }
+                Next::Notice if life.leave(self.clock.now(), stop) => {
+                    let _ = self.module.send(Message::Leave(stop)).await;
                 }
+                Next::Notice => {}
                 Next::Time => {
-                    if life.pass(clock.now()) && life.phase() == Phase::Closing {
-                        let _ = front.send(front::Order::Finish).await;
+                    if life.pass(self.clock.now()) && life.phase() == Phase::Closing {
+                        let _ = self.front.send(front::Order::Finish).await;
                     }
                 }
                 Next::Empty => life.enter(Phase::Ended),
             }
         }
     }
+
+    /// Waits for the next thing that may change the phase.
+    async fn next(&mut self, at: Option<Micros>, notices: &mut Notices) -> Next {
+        let Program { up, connections, clock, .. } = self;
+        let is_up = async {
+            match up.recv().await {
+                Ok(()) => Next::Up,
+                Err(_) => future::pending().await,
+            }
+        };
+        let notice = async {
+            notices.next().await;
+            Next::Notice
+        };
+        let time = async {
+            let Some(at) = at else { return future::pending().await };
+            Timer::after(Duration::from_micros(at.saturating_sub(clock.now()))).await;
+            Next::Time
+        };
+        let empty = async {
+            connections.await;
+            Next::Empty
+        };
+        future::or(is_up, future::or(notice, future::or(time, empty))).await
+    }
 }
 
 #[cfg(test)]
--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -43,6 +43,8 @@
     pub work: Work,
     /// Its body.
     pub body: Vec<u8>,
+    /// When its caller stops waiting.
+    pub due: Micros,
     /// Where its answer goes, until it is given.
     pub reply_to: Option<ReplyTo>,
     /// Its run.
@@ -102,7 +104,7 @@
 
     /// Requests that were to be answered before `time` and are not.
     pub fn overdue(&self, time: Micros) -> Vec<RequestId> {
-        let late = self.all.values().filter(|o| o.reply_to.is_some() && o.work.waits(time) == 0);
+        let late = self.all.values().filter(|o| o.reply_to.is_some() && o.due <= time);
         late.map(|o| o.id.clone()).collect()
     }
 
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -281,6 +281,8 @@
             // Nothing can run before the agent is up.
             return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
         }
+        let unix = self.clock.unix();
+        let waits = work.waits(unix);
         let subject = work.key.clone().map(|key| (class, key));
         let repeats = subject.and_then(|subject| self.keys.find(&subject, now));
         let arrival = Arrival {
@@ -289,8 +291,8 @@
             tenant: 0,
             caller: work.sender,
             // Time in socket buffers counts: the caller's wait began when the request reached the machine.
-            waits: Some(work.waits(now)),
-            queued: now.saturating_sub(work.received),
+            waits: Some(waits),
+            queued: unix.saturating_sub(work.received),
             held_kb: work.held_kb,
             rank: work.rank,
             cost: None,
@@ -302,6 +304,7 @@
             class,
             work,
             body,
+            due: now + waits,
             reply_to: Some(reply_to),
             run: Run::None,
             ran: false,
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -365,7 +365,7 @@
         let asked = if too_long { Err("a request too long") } else { cgi::ask(params) };
         let work = match asked {
             Ok(Ask::Health(full)) => return Some(Message::Check(Check { full, reply_to })),
-            Ok(Ask::Work(work)) if !work.is_timely(self.shared.clock.now()) => {
+            Ok(Ask::Work(work)) if !work.is_timely(self.shared.clock.unix()) => {
                 debug!(self.shared.log, "a request from another time"; "received" => work.received);
                 self.answer(slot, serial, &Answer::Senseless);
                 return None;
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -43,14 +43,14 @@
 }
 
 impl Work {
-    /// Whether its times can be meant by anyone whose clock reads `now`.
-    pub fn is_timely(&self, now: Micros) -> bool {
-        self.received.abs_diff(now) <= FAR && self.budget <= FAR
+    /// Whether its times can be meant by anyone whose Unix clock reads `unix`.
+    pub fn is_timely(&self, unix: Micros) -> bool {
+        self.received.abs_diff(unix) <= FAR && self.budget <= FAR
     }
 
-    /// How long its caller still waits.
-    pub fn waits(&self, now: Micros) -> Micros {
-        self.received.saturating_add(self.budget).saturating_sub(now)
+    /// How long its caller still waits at this Unix time.
+    pub fn waits(&self, unix: Micros) -> Micros {
+        self.received.saturating_add(self.budget).saturating_sub(unix)
     }
 }
 
