A senseless notice fails its request and not the link; every codec tested on damaged bytes

Seen in a test: an outcome of an unknown kind closed the link, and the new link brought the same notice again, fifty times a second.

--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -21,6 +21,8 @@
 const BATCH: usize = 32 * 1024;
 /// Time between tries to connect.
 const RETRY: Duration = Duration::from_millis(20);
+/// Time until the next try after bytes that made no sense.
+const AFTER_NONSENSE: Duration = Duration::from_millis(200);
 
 /// The actor.
 pub struct Agent {
@@ -66,7 +68,11 @@
                         Broken::Alone => return,
                         Broken::Lost(e) => warn!(self.log, "agent link lost"; "why" => %e),
                         Broken::Ended => warn!(self.log, "agent link ended by the agent"),
-                        Broken::Malformed(e) => warn!(self.log, "agent link closed"; "why" => %e),
+                        Broken::Malformed(e) => {
+                            warn!(self.log, "agent link closed"; "why" => %e);
+                            // The same bytes may come again: no need to meet them at full speed.
+                            Timer::after(AFTER_NONSENSE).await;
+                        }
                     }
                     if self.module.send(Message::LinkLost).await.is_err() {
                         return;
@@ -181,6 +187,12 @@
                 warn!(self.log, "agent refused"; "command" => &command, "request" => &id);
                 Message::AgentRefused(command, id)
             }
+            // Were the link closed over it, the next one would bring it again.
+            Notice::Senseless(id) => {
+                warn!(self.log, "a notice without sense"; "request" => &id);
+                self.journal.ended(&id);
+                Message::AgentRefused("notice".to_owned(), id)
+            }
             Notice::Aside => return Ok(()),
         };
         self.module.send(message).await.map_err(|_| Broken::Alone)
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -139,6 +139,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::noise;
     use super::*;
 
     fn params(change: impl Fn(&str) -> Option<&'static str>) -> Vec<u8> {
@@ -200,6 +201,22 @@
         assert!(!Work { budget: FAR + 1, ..work }.is_timely(1_764_576_000_123_000));
     }
 
+    #[test]
+    fn damaged_parameters_are_refused_or_make_sense() {
+        let (mut refused, mut read) = (0, 0);
+        for bytes in noise::damaged(&params(|_| None)) {
+            match ask(&bytes) {
+                Ok(Ask::Work(work)) => {
+                    assert!(work.held_kb > 0.0 && work.rank < 1.0 && !work.id.is_empty());
+                    read += 1;
+                }
+                Ok(Ask::Health(_)) => panic!("no such path was sent"),
+                Err(_) => refused += 1,
+            }
+        }
+        assert!(refused > 100 && read > 5, "{refused} {read}");
+    }
+
     #[test]
     fn health_checks_may_ask_for_work() {
         let check = |query: &str| {
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -123,6 +123,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::noise;
     use super::*;
 
     #[test]
@@ -160,6 +161,27 @@
         assert_eq!((read.status, read.keep, read.size), (204, false, none.len()));
     }
 
+    #[test]
+    fn damaged_replies_end_in_some_way_and_within_bounds() {
+        let length = b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nOp-Not-Begun: 1\r\n\r\nabcdefghijkl";
+        let chunked =
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        let mut kinds = [0; 3];
+        for bytes in noise::damaged(length).chain(noise::damaged(chunked)) {
+            for ended in [false, true] {
+                match reply(&bytes, ended) {
+                    Ok(Some(read)) => {
+                        assert!(read.size <= bytes.len() && read.body.len() <= BODY);
+                        kinds[0] += 1;
+                    }
+                    Ok(None) => kinds[1] += 1,
+                    Err(_) => kinds[2] += 1,
+                }
+            }
+        }
+        assert!(kinds.iter().all(|&count| count > 20), "{kinds:?}");
+    }
+
     #[test]
     fn hostile_replies_are_refused() {
         let bad: [&[u8]; 5] = [
--- a/crates/server/src/wire/jsonl.rs
+++ b/crates/server/src/wire/jsonl.rs
@@ -107,6 +107,8 @@
     Exercised(String, bool),
     /// A command about a request was not carried out.
     Refusal(String, String),
+    /// A sound line about this request that says nothing that could be true.
+    Senseless(String),
     /// Nothing of meaning.
     Aside,
 }
@@ -133,28 +135,30 @@
 /// Reads one line: the notice, and its number if it has one.
 pub fn notice(line: &[u8]) -> Result<(Notice, Option<u64>), Malformed> {
     let line: Line = serde_json::from_slice(line).map_err(|_| Malformed("not a notice in JSON"))?;
-    let body = || STANDARD.decode(&line.body).map_err(|_| Malformed("a body that is not base64"));
     let took = (line.ms.max(0.0) * 1e3) as Micros;
     let numbered = matches!(line.op.as_str(), "outcome" | "request" | "aside") && line.seq > 0;
     let seq = numbered.then_some(line.seq);
-    let notice = match line.op.as_str() {
-        "greeting" => Notice::Greeting(line.end == "starting", took),
-        "outcome" => {
-            let end = match line.end.as_str() {
-                "fine" => RunEnd::Fine(body()?),
-                "fault" => RunEnd::Fault,
-                "broken_off" => RunEnd::BrokenOff,
-                "late" => RunEnd::Late,
-                _ => return Err(Malformed("an outcome of no known kind")),
+    let body = STANDARD.decode(&line.body).ok();
+    let notice = match (line.op.as_str(), body) {
+        ("greeting", _) => Notice::Greeting(line.end == "starting", took),
+        ("outcome", body) => {
+            let end = match (line.end.as_str(), body) {
+                ("fine", Some(result)) => Some(RunEnd::Fine(result)),
+                ("fault", _) => Some(RunEnd::Fault),
+                ("broken_off", _) => Some(RunEnd::BrokenOff),
+                ("late", _) => Some(RunEnd::Late),
+                _ => None,
             };
-            Notice::Outcome(line.id, end, took)
+            let id = line.id;
+            end.map_or(Notice::Senseless(id.clone()), |end| Notice::Outcome(id, end, took))
         }
-        "request" => Notice::Request(line.id.clone(), line.seq, body()?),
-        "sampled" => {
+        ("request", Some(body)) => Notice::Request(line.id, line.seq, body),
+        ("request", None) => Notice::Senseless(line.id),
+        ("sampled", _) => {
             Notice::Sampled(line.tag, line.values.into_iter().map(|v| v.unwrap_or(f64::NAN)).collect())
         }
-        "exercised" => Notice::Exercised(line.tag, line.end == "fine"),
-        "refusal" => Notice::Refusal(line.end, line.id),
+        ("exercised", _) => Notice::Exercised(line.tag, line.end == "fine"),
+        ("refusal", _) => Notice::Refusal(line.end, line.id),
         _ => Notice::Aside,
     };
     Ok((notice, seq))
@@ -162,6 +166,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::noise;
     use super::*;
 
     fn text(command: Command) -> String {
@@ -222,19 +227,33 @@
         is(r#"{"op":"something-new"}"#, Notice::Aside, None);
     }
 
+    #[test]
+    fn what_can_t_be_true_is_told_from_what_can_t_be_read() {
+        for line in [
+            &br#"{"op":"outcome","seq":1,"id":"a","end":"odd"}"#[..],
+            br#"{"op":"outcome","seq":1,"id":"a","end":"fine","body":"%%"}"#,
+            br#"{"op":"request","seq":1,"id":"a","body":"%%"}"#,
+        ] {
+            assert_eq!(notice(line), Ok((Notice::Senseless("a".into()), Some(1))));
+        }
+    }
+
+    #[test]
+    fn damaged_lines_are_refused_or_still_a_notice() {
+        let line = br#"{"op":"request","seq":4,"id":"9b1f03aa5c7e2d41","body":"AP8AP8AP8AP8"}"#;
+        let refused = noise::damaged(line).filter(|bytes| notice(bytes).is_err()).count();
+        assert!((100..500).contains(&refused), "{refused}");
+    }
+
     #[test]
     fn bad_lines_are_refused_at_every_cut() {
         let line = br#"{"op":"outcome","seq":3,"id":"a","end":"fine","ms":18.5,"body":"AP8="}"#;
         for cut in 0..line.len() {
             assert!(notice(&line[..cut]).is_err(), "{cut}");
         }
-        for bad in [
-            &b"[]"[..],
-            b"\xff\xfe",
-            br#"{"op":"outcome","seq":-1,"id":"a","end":"fine"}"#,
-            br#"{"op":"outcome","seq":1,"id":"a","end":"odd"}"#,
-            br#"{"op":"request","seq":1,"id":"a","body":"%%"}"#,
-        ] {
+        for bad in
+            [&b"[]"[..], b"\xff\xfe", br#"{"op":"outcome","seq":-1,"id":"a","end":"fine"}"#, br#"{"op":7}"#]
+        {
             assert!(notice(bad).is_err(), "{}", String::from_utf8_lossy(bad));
         }
     }
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -7,6 +7,9 @@
 pub mod jsonl;
 pub mod responder;
 
+#[cfg(test)]
+mod noise;
+
 use std::fmt;
 
 /// Bytes that no sound peer sends. The connection they came on is of no more use.
--- a/crates/server/src/wire/responder/tests.rs
+++ b/crates/server/src/wire/responder/tests.rs
@@ -1,3 +1,4 @@
+use super::super::noise;
 use super::*;
 
 fn begin(slot: u16, role: u8, flags: u8) -> Vec<u8> {
@@ -174,34 +175,14 @@
     assert!(feed(&mut Responder::default(), &short).is_err());
 }
 
-/// A generator of bytes that repeats itself exactly.
-fn noise(seed: u64) -> impl FnMut() -> u8 {
-    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-    move || {
-        state ^= state << 13;
-        state ^= state >> 7;
-        state ^= state << 17;
-        (state >> 24) as u8
-    }
-}
-
 #[test]
 fn no_bytes_whatever_do_harm() {
-    for seed in 0..300 {
-        let mut next = noise(seed);
-        let mut bytes = request(1, b"params", b"body");
-        bytes.extend(request(2, b"params", b"body"));
-        for _ in 0..8 {
-            let at = usize::from(next()) * bytes.len() / 256;
-            bytes[at] = next();
-        }
-        let raw: Vec<u8> = (0..400).map(|_| next() & 15).collect();
-        for input in [&bytes, &raw] {
-            let mut responder = Responder::default();
-            let _ = feed(&mut responder, input);
-            assert!(responder.open() <= OPEN && responder.held() <= OPEN * (PARAMS + BODY));
-            responder.drop_partial();
-            assert_eq!(responder.open(), responder.whole());
-        }
+    let sound = [request(1, b"params", b"body"), request(2, b"params", b"body")].concat();
+    for bytes in noise::damaged(&sound) {
+        let mut responder = Responder::default();
+        let _ = feed(&mut responder, &bytes);
+        assert!(responder.open() <= OPEN && responder.held() <= OPEN * (PARAMS + BODY));
+        responder.drop_partial();
+        assert_eq!(responder.open(), responder.whole());
     }
 }
--- a/crates/server/tests/serving.rs
+++ b/crates/server/tests/serving.rs
@@ -218,6 +218,21 @@
     assert_eq!(balancer.answer().status, 500);
 }
 
+#[test]
+fn a_notice_without_sense_fails_its_request_and_is_met_once() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    world.agent.outcome("a", "never heard of", b"");
+    assert_eq!(balancer.answer().status, 500);
+    balancer.send(&Request::new(1, "b"));
+    world.agent.expect("launch");
+    world.agent.outcome("b", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert_eq!(world.agent.subscribed, [0]);
+}
+
 #[test]
 fn nothing_is_good_before_the_greeting() {
     let mut world = World::start(|_| ());
