--- a/crates/server/src/peers/records.rs
+++ b/crates/server/src/peers/records.rs
@@ -203,6 +203,104 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use futures_lite::AsyncReadExt;
+
+    /// Plays `script` with the actor's mailboxes against a service at this listener.
+    fn with_records<F: std::future::Future<Output = ()>>(
+        most: usize,
+        script: impl FnOnce(Async<std::net::TcpListener>, Sender<Order>, Receiver<Message>) -> F,
+    ) {
+        let executor = Rc::new(LocalExecutor::new());
+        let listener = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let address = listener.get_ref().local_addr().expect("an address");
+        let (orders, taken) = async_channel::bounded(MAILBOX);
+        let (module, mail) = async_channel::bounded(8);
+        let log = Logger::root(slog::Discard, slog::o!());
+        let records = Records::new(executor.clone(), (address, most), taken, module, Clock::default(), log);
+        executor.spawn(records.run()).detach();
+        async_io::block_on(executor.run(script(listener, orders, mail)));
+    }
+
+    fn far() -> Micros {
+        Clock::default().now() + 100_000_000
+    }
+
+    /// Reads one request without a body; `false` if the connection ends before.
+    async fn heard(stream: &mut Async<TcpStream>) -> bool {
+        let (mut bytes, mut byte) = (Vec::new(), [0]);
+        while !bytes.ends_with(b"\r\n\r\n") {
+            if !matches!(stream.read(&mut byte).await, Ok(1)) {
+                return false;
+            }
+            bytes.push(byte[0]);
+        }
+        true
+    }
+
+    async fn called(mail: &Receiver<Message>) -> (String, Outcome) {
+        match mail.recv().await {
+            Ok(Message::Called(id, outcome, ..)) => (id.to_string(), outcome),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn a_second_call_for_a_request_gives_up_the_first() {
+        with_records(4, |listener, orders, mail| async move {
+            orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+            let (mut first, _) = listener.accept().await.expect("a connection");
+            assert!(heard(&mut first).await);
+            orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+            let (mut second, _) = listener.accept().await.expect("a connection");
+            assert!(heard(&mut second).await);
+            assert!(!heard(&mut first).await);
+            let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            stream::write_all(&second, reply).await.expect("written");
+            assert_eq!(called(&mail).await, ("a".to_owned(), Outcome::Ok));
+            assert!(mail.is_empty());
+        });
+    }
+
+    #[test]
+    fn more_calls_than_descriptors_allow_never_begin() {
+        with_records(1, |listener, orders, mail| async move {
+            orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            assert!(heard(&mut stream).await);
+            orders.send(Order::Call("b".into(), vec![], far())).await.expect("taken");
+            assert_eq!(called(&mail).await, ("b".to_owned(), Outcome::Refused));
+            drop(stream);
+            assert_eq!(called(&mail).await, ("a".to_owned(), Outcome::Cut));
+        });
+    }
+
+    #[test]
+    fn a_refused_connection_proves_that_nothing_ran_and_silence_does_not() {
+        with_records(4, |listener, orders, mail| async move {
+            let soon = Clock::default().now() + 2_000_000;
+            orders.send(Order::Call("silent".into(), vec![], soon)).await.expect("taken");
+            assert_eq!(called(&mail).await, ("silent".to_owned(), Outcome::TimedOut));
+            drop(listener);
+            orders.send(Order::Call("refused".into(), vec![], far())).await.expect("taken");
+            assert_eq!(called(&mail).await, ("refused".to_owned(), Outcome::Unreachable));
+        });
+    }
+
+    #[test]
+    fn a_connection_that_was_closed_meanwhile_is_not_used_again() {
+        with_records(4, |listener, orders, mail| async move {
+            for _ in 0..3 {
+                orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                assert!(heard(&mut stream).await);
+                let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                stream::write_all(&stream, reply).await.expect("written");
+                assert_eq!(called(&mail).await, ("a".to_owned(), Outcome::Ok));
+                // Closed while it stands idle: the next call needs another.
+                drop(stream);
+            }
+        });
+    }
 
     #[test]
     fn only_a_mark_proves_that_a_call_never_ran() {
--- a/crates/server/tests/common/http.rs
+++ b/crates/server/tests/common/http.rs
@@ -2,7 +2,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 
 use super::PATIENCE;
 
@@ -109,6 +111,7 @@
 pub struct Announce {
     pub address: SocketAddr,
     reports: Receiver<String>,
+    down: Arc<AtomicBool>,
 }
 
 impl Announce {
@@ -116,23 +119,21 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (tell, reports) = channel();
+        let down = Arc::new(AtomicBool::new(false));
+        let is_down = down.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let tell = tell.clone();
-                std::thread::spawn(move || {
-                    let mut from = BufReader::new(stream.try_clone().expect("a second handle"));
-                    while let Some(request) = receive(&mut from) {
-                        let mut stream = &stream;
-                        let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
-                        let word = word(&request);
-                        if tell.send(word).is_err() {
-                            return;
-                        }
-                    }
-                });
+                let (tell, is_down) = (tell.clone(), is_down.clone());
+                std::thread::spawn(move || hear_reports(&stream, &tell, &is_down));
             }
         });
-        Announce { address, reports }
+        Announce { address, reports, down }
+    }
+
+    /// From now on it ends connections instead of answering, or answers again.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        while self.reports.try_recv().is_ok() {}
     }
 
     /// The word of the next report.
@@ -146,6 +147,21 @@
     }
 }
 
+fn hear_reports(stream: &TcpStream, tell: &Sender<String>, is_down: &AtomicBool) {
+    let mut from = BufReader::new(stream);
+    while let Some(request) = receive(&mut from) {
+        if is_down.load(Ordering::SeqCst) {
+            let _ = tell.send("unheard".to_owned());
+            return;
+        }
+        let mut to = stream;
+        let _ = to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+        if tell.send(word(&request)).is_err() {
+            return;
+        }
+    }
+}
+
 fn word(request: &Received) -> String {
     assert_eq!(request.line, "PUT /announce/n3 HTTP/1.1");
     let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
--- a/crates/server/tests/serving.rs
+++ b/crates/server/tests/serving.rs
@@ -195,6 +195,18 @@
     assert_eq!(balancer.answer().status, 200);
 }
 
+#[test]
+fn a_run_goes_on_without_a_call_that_nobody_takes() {
+    let mut world = World::up(|config| config["records"] = "127.0.0.1:1".into());
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a"));
+    world.agent.expect("launch");
+    world.agent.needs_call("a", b"x");
+    world.agent.expect("forgo");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().status, 200);
+}
+
 #[test]
 fn a_call_is_given_up_with_its_request() {
     let mut world = World::up(|_| ());
@@ -264,6 +276,12 @@
     for _ in 0..3 {
         assert_eq!(world.announce.report(), "true");
     }
+    world.announce.set_down(true);
+    world.announce.expect("unheard");
+    world.announce.expect("unheard");
+    world.announce.set_down(false);
+    world.announce.expect("true");
+    world.announce.expect("true");
 }
 
 #[test]
