A peer that sends on while its connection ends no longer keeps all others waiting

Seen in a test of a peer that does not read: after a malformed record 64 MB were read in 0.13 s without ever yielding, so nobody else was served meanwhile. Lines at fault: the loop in Connection::end. Now it yields after each read and stops at 1 MB; the agent's link yields too. Clearing a buffer wrapped around when something had been consumed before. The module's mailbox holds 256 messages, as each may carry a long body.

--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -23,7 +23,7 @@
 use crate::wire::jsonl::RunEnd;
 
 /// Messages that may wait to be taken.
-pub const MAILBOX: usize = 1024;
+pub const MAILBOX: usize = 256;
 /// Messages taken into one step at most.
 const AT_ONCE: usize = 4 * MAILBOX;
 /// How long a timer waits for its gauges.
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -92,6 +92,8 @@
             if let Err(why) = self.turn(&mut link).await {
                 return why;
             }
+            // An agent that never stops talking must not keep all others waiting.
+            future::yield_now().await;
         }
     }
 
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -17,7 +17,7 @@
 use crate::memory::budget::{Budget, Charge};
 use crate::module::{Check, Message, Request};
 use crate::wire::buffer::Buffer;
-use crate::wire::cgi::{self, Answer, Ask};
+use crate::wire::cgi::{self, Answer, Ask, Work};
 use crate::wire::fastcgi::{self, Status};
 use crate::wire::responder::{Incoming, Responder, OPEN};
 
@@ -30,6 +30,8 @@
 /// After our end of the stream, the peer has this long to end its own: well over the time within which a
 /// request may cross a close.
 const LINGER: Duration = Duration::from_millis(200);
+/// And no more bytes than this are read from it meanwhile.
+const DRAINED: usize = 1024 * 1024;
 /// What an open request takes besides its body: its fields, and its result when it comes.
 const PER_REQUEST: usize = 6 * 1024;
 
@@ -113,6 +115,14 @@
     }
 }
 
+/// What a request that makes sense asks for.
+enum Meant {
+    /// Whether this server is well.
+    Check(bool),
+    /// Work, of the class at this place.
+    Work(Work, usize),
+}
+
 /// The actor of one connection.
 pub struct Connection {
     stream: Async<TcpStream>,
@@ -128,7 +138,6 @@
     /// The peer sends no more, or nothing of use.
     deaf: bool,
     finishing: bool,
-    progress: Micros,
 }
 
 impl Connection {
@@ -140,8 +149,7 @@
     ) -> Option<(Connection, Sender<Word>)> {
         let (me, words) = async_channel::bounded(MAILBOX);
         let charge = shared.budget.take(0)?;
-        let progress = shared.clock.now();
-        activity.last.set(progress);
+        activity.last.set(shared.clock.now());
         let responder = Responder::new(shared.connections);
         let connection = Connection {
             stream,
@@ -156,7 +164,6 @@
             written: 0,
             deaf: false,
             finishing: false,
-            progress,
         };
         Some((connection, me))
     }
@@ -226,8 +233,7 @@
     }
 
     fn touch(&mut self) {
-        self.progress = self.shared.clock.now();
-        self.activity.last.set(self.progress);
+        self.activity.last.set(self.shared.clock.now());
     }
 
     fn hear_no_more(&mut self) {
@@ -362,26 +368,15 @@
         too_long: bool,
     ) -> Option<Message> {
         let reply_to = ReplyTo::new(self.me.clone(), slot, serial);
-        let asked = if too_long { Err("a request too long") } else { cgi::ask(params) };
-        let work = match asked {
-            Ok(Ask::Health(full)) => return Some(Message::Check(Check { full, reply_to })),
-            Ok(Ask::Work(work)) if !work.is_timely(self.shared.clock.unix()) => {
-                debug!(self.shared.log, "a request from another time"; "received" => work.received);
-                self.answer(slot, serial, &Answer::Senseless);
-                return None;
-            }
-            Ok(Ask::Work(work)) => work,
+        let (work, class) = match self.understand(params, too_long) {
+            Ok(Meant::Check(full)) => return Some(Message::Check(Check { full, reply_to })),
+            Ok(Meant::Work(work, class)) => (work, class),
             Err(why) => {
                 debug!(self.shared.log, "a request without sense"; "why" => why);
                 self.answer(slot, serial, &Answer::Senseless);
                 return None;
             }
         };
-        let Some(class) = self.shared.classes.iter().position(|name| *name == work.class) else {
-            debug!(self.shared.log, "a request of no known class"; "class" => &work.class);
-            self.answer(slot, serial, &Answer::Senseless);
-            return None;
-        };
         let Some(charge) = self.shared.budget.take(params.len() + body.len() + PER_REQUEST) else {
             self.pending.remove(&slot);
             self.responder.turn_away(slot, Status::Overloaded);
@@ -392,6 +387,19 @@
         Some(Message::Request(Box::new(Request { id, class, work, body, reply_to, charge })))
     }
 
+    fn understand(&self, params: &[u8], too_long: bool) -> Result<Meant, &'static str> {
+        if too_long {
+            return Err("longer than allowed");
+        }
+        let work = match cgi::ask(params)? {
+            Ask::Health(full) => return Ok(Meant::Check(full)),
+            Ask::Work(work) if work.is_timely(self.shared.clock.unix()) => work,
+            Ask::Work(_) => return Err("times far from now"),
+        };
+        let class = self.shared.classes.iter().position(|name| *name == work.class);
+        class.map(|class| Meant::Work(work, class)).ok_or("no known class")
+    }
+
     /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
     /// close with bytes unread would be a reset that may overtake an answer.
     async fn end(&mut self) {
@@ -399,9 +407,15 @@
         let stream = &self.stream;
         let drained = stream::within(LINGER, async {
             let mut sink = Buffer::new(4 * 1024);
-            while let Ok(got) = stream::read(stream, &mut sink) {
+            let mut left = DRAINED;
+            while let (Ok(got), true) = (stream::read(stream, &mut sink), left > 0) {
                 match got {
-                    Got::Bytes(n) => sink.consume(n),
+                    Got::Bytes(n) => {
+                        sink.consume(n);
+                        left = left.saturating_sub(n);
+                        // A peer that never stops sending would keep all others waiting.
+                        future::yield_now().await;
+                    }
                     Got::End => return,
                     Got::Nothing if stream.readable().await.is_err() => return,
                     Got::Nothing => {}
--- a/crates/server/src/wire/buffer.rs
+++ b/crates/server/src/wire/buffer.rs
@@ -23,9 +23,9 @@
         &self.bytes[self.from..self.to]
     }
 
-    /// Takes `n` bytes off the front.
+    /// Takes `n` bytes off the front, or all where that is less.
     pub fn consume(&mut self, n: usize) {
-        self.from = (self.from + n).min(self.to);
+        self.from = self.from.saturating_add(n).min(self.to);
         if self.from == self.to {
             (self.from, self.to) = (0, 0);
             if self.bytes.len() > LEAST {
@@ -115,7 +115,8 @@
     fn an_emptied_buffer_gives_its_memory_back() {
         let mut buffer = Buffer::new(1 << 20);
         assert!(buffer.append(&[0; 100_000]));
-        buffer.consume(200_000);
+        buffer.consume(10);
+        buffer.consume(usize::MAX);
         assert_eq!((buffer.unread().len(), buffer.size()), (0, LEAST));
     }
 }
--- a/crates/server/tests/rules.rs
+++ b/crates/server/tests/rules.rs
@@ -129,7 +129,9 @@
     let mut balancer = world.balancer();
     balancer.send(&Request::new(1, "a"));
     world.agent.expect("launch");
-    balancer.send_bytes(b"GET / HTTP/1.1\r\n\r\n");
+    // In one piece with a sound record before it.
+    balancer.send_bytes(&[record(9, 0, &[]), b"GET / HTTP/1.1\r\n\r\n".to_vec()].concat());
+    assert_eq!(balancer.record().map(|(kind, ..)| kind), Some(10));
     world.agent.outcome("a", "fine", b"r");
     assert_eq!(balancer.answer().body, b"r");
     assert_eq!(balancer.try_answer(), None);
@@ -201,17 +203,33 @@
 fn a_peer_that_does_not_read_delays_nobody_else() {
     let mut world = World::up(|_| ());
     let mut deaf = world.balancer();
-    let check = Request::check(1, "").bytes();
-    deaf.stream.set_write_timeout(Some(std::time::Duration::from_millis(200))).expect("a time limit");
-    let flood: Vec<u8> = check.iter().copied().cycle().take(check.len() * 200).collect();
+    deaf.stream.set_write_timeout(Some(std::time::Duration::from_millis(300))).expect("a time limit");
+    let question = record(9, 0, b"\x0f\x00FCGI_MPXS_CONNS");
+    let flood = question.repeat(1_000);
     // Until nothing more goes in: its answers fill all there is between the two.
     let mut sent = 0;
-    while sent < 64 << 20 && deaf.stream.write_all(&flood).is_ok() {
+    while sent < 256 << 20 && deaf.stream.write_all(&flood).is_ok() {
         sent += flood.len();
     }
+    assert!(sent < 256 << 20);
     let mut other = world.balancer();
     assert_eq!(other.ask(&Request::check(1, "")).status, 200);
-    assert!(world.is_alive() && sent < 64 << 20);
+    assert!(world.is_alive());
+}
+
+#[test]
+fn a_peer_that_sends_on_after_nonsense_is_cut_off() {
+    let mut world = World::up(|_| ());
+    let mut flooder = world.balancer();
+    let flood = vec![0; 1 << 20];
+    let mut sent = 0;
+    // No more than is read while the connection ends, and what fits between the two.
+    while sent < 256 && flooder.stream.write_all(&flood).is_ok() {
+        sent += 1;
+    }
+    assert!(sent < 256);
+    assert_eq!(world.balancer().ask(&Request::check(1, "")).status, 200);
+    assert!(world.is_alive());
 }
 
 #[test]
