--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use serde_json::{json, Value};
 
 pub use agent::Agent;
-pub use balancer::Balancer;
+pub use balancer::{Balancer, Request};
 pub use http::{Announce, Records};
 
 /// Longest wait for anything.
@@ -128,6 +128,14 @@
         Balancer::connect(self.listen)
     }
 
+    /// A connection on which this request, under the number 1, has been launched.
+    pub fn running(&mut self, id: &str) -> Balancer {
+        let mut balancer = self.balancer();
+        balancer.send(&Request::new(1, id));
+        assert_eq!(self.agent.expect("launch").0, id);
+        balancer
+    }
+
     /// Ends the server as the system would at worst, and starts it again.
     pub fn kill_and_restart(&mut self) {
         self.server.kill().expect("killed");
--- a/crates/server/tests/rules.rs
+++ b/crates/server/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-use common::balancer::{record, Request};
-use common::{eventually, Balancer, World};
+use common::balancer::record;
+use common::{eventually, Balancer, Request, World};
 
 /// A generator of bytes that repeats itself exactly.
 fn noise(seed: u64, length: usize) -> Vec<u8> {
@@ -48,9 +48,7 @@
 #[test]
 fn notices_seen_before_are_dropped_and_known_commands_are_not_repeated() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", b"x");
     world.records.call().reply("200 OK", "", b"y");
     world.agent.expect("deliver");
@@ -104,9 +102,7 @@
 #[test]
 fn bad_bytes_cost_their_connection_only() {
     let mut world = World::up(|_| ());
-    let mut sound = world.balancer();
-    sound.send(&Request::new(1, "sound"));
-    world.agent.expect("launch");
+    let mut sound = world.running("sound");
     for seed in 0..40 {
         let mut stream = TcpStream::connect(world.listen).expect("connected");
         let bytes = noise(seed, 600);
@@ -126,9 +122,7 @@
 #[test]
 fn requests_open_on_a_connection_that_turns_bad_are_still_answered() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     // In one piece with a sound record before it.
     balancer.send_bytes(&[record(9, 0, &[]), b"GET / HTTP/1.1\r\n\r\n".to_vec()].concat());
     assert_eq!(balancer.record().map(|(kind, ..)| kind), Some(10));
@@ -152,9 +146,7 @@
 #[test]
 fn an_aborted_request_ends_and_its_run_is_stopped() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     balancer.send_bytes(&record(2, 1, &[]));
     assert_eq!(balancer.answer().status, 0);
     assert_eq!(world.agent.expect("freeze").0, "a");
@@ -184,9 +176,7 @@
 #[test]
 fn a_full_table_of_connections_delays_nobody_who_is_in() {
     let mut world = World::up(|config| config["limits"]["sockets"] = 64.into());
-    let mut first = world.balancer();
-    first.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut first = world.running("a");
     let crowd: Vec<TcpStream> =
         (0..80).map(|_| TcpStream::connect(world.listen).expect("connected")).collect();
     // Those in do nothing, so one after the other leaves its place.
@@ -268,9 +258,7 @@
 #[test]
 fn a_leaving_server_answers_all_that_arrives_and_ends_well() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "before"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("before");
     world.terminate();
     world.announce.expect("false");
     balancer.send(&Request::new(2, "after"));
@@ -323,9 +311,7 @@
 #[test]
 fn a_standstill_of_the_machine_costs_no_peer_its_connection() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", b"x");
     let mut call = world.records.call();
     world.signal("STOP");
--- a/crates/server/tests/serving.rs
+++ b/crates/server/tests/serving.rs
@@ -2,8 +2,7 @@
 
 mod common;
 
-use common::balancer::Request;
-use common::{Balancer, World};
+use common::{Balancer, Request, World};
 
 fn noise(length: usize) -> Vec<u8> {
     (0..length as u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 13) as u8).collect()
@@ -52,9 +51,7 @@
 #[test]
 fn one_request_gets_one_answer() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.outcome("a", "fine", b"first");
     world.agent.outcome("a", "fine", b"second");
     assert_eq!(balancer.answer().body, b"first");
@@ -132,9 +129,7 @@
 fn a_call_and_its_reply_pass_unchanged() {
     let mut world = World::up(|_| ());
     let (asked, reply) = (noise(96), noise(700));
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", &asked);
     let mut call = world.records.call();
     assert_eq!(call.request.line, "POST /records/op HTTP/1.1");
@@ -150,9 +145,7 @@
 #[test]
 fn calls_go_over_one_connection_after_another_is_done() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let _balancer = world.running("a");
     let mut peers = Vec::new();
     for _ in 0..3 {
         world.agent.needs_call("a", b"x");
@@ -167,9 +160,7 @@
 #[test]
 fn a_call_that_never_began_is_made_again() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", b"x");
     world.records.call().reply("503 Busy", "Op-Not-Begun: 1\r\n", b"");
     world.records.call().reply("200 OK", "", b"y");
@@ -181,9 +172,7 @@
 #[test]
 fn a_run_goes_on_without_a_call_that_keeps_failing() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     let seq = world.agent.needs_call("a", b"x");
     // An answer that breaks off proves nothing, as little as an error does.
     world.records.call().reply("500 Error", "", b"");
@@ -198,9 +187,7 @@
 #[test]
 fn a_run_goes_on_without_a_call_that_nobody_takes() {
     let mut world = World::up(|config| config["records"] = "127.0.0.1:1".into());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", b"x");
     world.agent.expect("forgo");
     world.agent.outcome("a", "fine", b"r");
@@ -210,9 +197,7 @@
 #[test]
 fn a_call_is_given_up_with_its_request() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.needs_call("a", b"x");
     let mut call = world.records.call();
     world.agent.outcome("a", "broken_off", b"");
@@ -223,9 +208,7 @@
 #[test]
 fn a_command_the_agent_refuses_fails_its_request() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.say(&serde_json::json!({"op": "refusal", "end": "launch", "id": "a"}));
     assert_eq!(balancer.answer().status, 500);
 }
@@ -233,9 +216,7 @@
 #[test]
 fn a_notice_without_sense_fails_its_request_and_is_met_once() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let mut balancer = world.running("a");
     world.agent.outcome("a", "never heard of", b"");
     assert_eq!(balancer.answer().status, 500);
     balancer.send(&Request::new(1, "b"));
@@ -287,9 +268,7 @@
 #[test]
 fn a_killed_server_starts_afresh_under_its_address() {
     let mut world = World::up(|_| ());
-    let mut balancer = world.balancer();
-    balancer.send(&Request::new(1, "a"));
-    world.agent.expect("launch");
+    let _balancer = world.running("a");
     world.kill_and_restart();
     world.agent.linked();
     assert_eq!(world.agent.subscribed, [0, 0]);
