--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -98,6 +98,27 @@
     }
 }
 
+impl Config {
+    /// Whether a running program can go over to `new`: only addresses of peers and the time to leave may
+    /// differ. Names the first field that may not. What describes a start (`seed`, `fresh_start`) is not
+    /// compared, as it says nothing of a process that has started.
+    pub fn can_become(&self, new: &Config) -> Read<()> {
+        let mut settings = new.settings.clone();
+        (settings.seed, settings.cold) = (self.settings.seed, self.settings.cold);
+        let same = [
+            (self.name == new.name, "name"),
+            (self.listen == new.listen, "listen"),
+            (self.limits == new.limits, "limits"),
+            (
+                self.settings == settings && self.classes == new.classes && self.gauges == new.gauges,
+                "settings",
+            ),
+        ];
+        let changed = same.iter().find(|(same, _)| !same);
+        changed.map_or(Ok(()), |(_, field)| Err(format!("`{field}` cannot change while running")))
+    }
+}
+
 fn plain(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.')
 }
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -7,6 +7,7 @@
 pub mod signals;
 
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use slog::Logger;
+use slog::{error, info, Logger};
 use umberloom::interface::Micros;
 
 use crate::memory::budget::Budget;
@@ -27,7 +28,7 @@
 use clock::Clock;
 use config::Config;
 use phase::{Life, Phase};
-use signals::Notices;
+use signals::{Notice, Notices};
 
 /// The share of the memory limit that peers can make this process take.
 const PEERS_SHARE: usize = 2;
@@ -48,17 +49,17 @@
     }
 }
 
-/// Serves until the program is told to end; an error comes before anything is served.
-pub fn serve(config: Config, log: Logger) -> Result<(), String> {
+/// Serves until the program is told to end; an error comes before anything is served. The configuration was
+/// read from the file at `path` and is read from there again on notice.
+pub fn serve(config: Config, path: &Path, notices: Notices, log: Logger) -> Result<(), String> {
     let mut life = Life::new(log.clone());
     let listener = TcpListener::bind(config.listen).and_then(Async::new);
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let notices = Notices::new().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::default();
     let executor = Rc::new(LocalExecutor::new());
     life.enter(Phase::Waiting);
-    let program = Program::start(&executor, &config, listener, clock, &log);
-    async_io::block_on(executor.run(program.live(life, notices, config.stop)));
+    let program = Program::start(&executor, (config, path), listener, clock, &log);
+    async_io::block_on(executor.run(program.live(life, notices)));
     Ok(())
 }
 
@@ -66,8 +67,8 @@
 enum Next {
     /// The agent is up.
     Up,
-    /// Notice to leave.
-    Notice,
+    /// A notice from the system.
+    Notice(Notice),
     /// The next phase may be due.
     Time,
     /// The last connection is closed.
@@ -76,17 +77,23 @@
 
 /// The running program, as the one who starts and ends it sees it.
 struct Program {
+    config: Config,
+    path: PathBuf,
     module: Sender<Message>,
+    agent: Sender<agent::Word>,
+    records: Sender<records::Order>,
+    list: Sender<list::Word>,
     front: Sender<front::Order>,
     up: Receiver<()>,
     connections: Task<()>,
     clock: Clock,
+    log: Logger,
 }
 
 impl Program {
     fn start<'a>(
         executor: &Rc<LocalExecutor<'a>>,
-        config: &Config,
+        (config, path): (Config, &Path),
         listener: Async<TcpListener>,
         clock: Clock,
         log: &Logger,
@@ -98,7 +105,13 @@
         let (list, list_words) = bounded(list::MAILBOX);
         let (front, front_orders) = bounded(front::MAILBOX);
         let (up_told, up) = bounded(1);
-        let others = Others { agent, records, list, front: front.clone(), up: up_told };
+        let others = Others {
+            agent: agent.clone(),
+            records: records.clone(),
+            list: list.clone(),
+            front: front.clone(),
+            up: up_told,
+        };
         let told = (config.settings.clone(), config.gauges.clone());
         executor.spawn(Module::new(told, mail, others, clock.clone(), log.clone()).run()).detach();
         executor.spawn(Agent::new(config.agent, agent_orders, module.clone(), log.clone()).run()).detach();
@@ -106,8 +119,8 @@
         if let Some(address) = config.records {
             let to = (address, parts.calls);
             let (own, clock) = (executor.clone(), clock.clone());
-            let records = Records::new(own, to, records_orders, module.clone(), clock, log.clone());
-            executor.spawn(records.run()).detach();
+            let calls = Records::new(own, to, records_orders, module.clone(), clock, log.clone());
+            executor.spawn(calls.run()).detach();
         }
         let shared = Shared {
             module: module.clone(),
@@ -122,18 +135,22 @@
         let idle = config.settings.idle_max;
         let connections =
             executor.spawn(Front::new(executor.clone(), from, shared, front_orders, idle).run());
-        Program { module, front, up, connections, clock }
+        let (path, log) = (path.to_owned(), log.clone());
+        Program { config, path, module, agent, records, list, front, up, connections, clock, log }
     }
 
     /// Passes through the phases up to the end.
-    async fn live(mut self, mut life: Life, mut notices: Notices, stop: u64) {
+    async fn live(mut self, mut life: Life, mut notices: Notices) {
         while life.phase() != Phase::Ended {
             match self.next(life.next_at(), &mut notices).await {
                 Next::Up => life.enter(Phase::Serving),
-                Next::Notice if life.leave(self.clock.now(), stop) => {
-                    let _ = self.module.send(Message::Leave(stop)).await;
+                Next::Notice(Notice::Reload) => self.reload().await,
+                Next::Notice(Notice::Leave) => {
+                    let stop = self.config.stop;
+                    if life.leave(self.clock.now(), stop) {
+                        let _ = self.module.send(Message::Leave(stop)).await;
+                    }
                 }
-                Next::Notice => {}
                 Next::Time => {
                     if life.pass(self.clock.now()) && life.phase() == Phase::Closing {
                         let _ = self.front.send(front::Order::Finish).await;
@@ -144,6 +161,32 @@
         }
     }
 
+    /// Goes over to the configuration that is in the file now, if it is sound and changes nothing that can't
+    /// change in a running program; else the old one stays in force, whole. A file that is broken or half
+    /// written must not cost what is being served.
+    async fn reload(&mut self) {
+        let read = Config::load(&self.path).and_then(|new| self.config.can_become(&new).map(|()| new));
+        match read {
+            Ok(new) => self.change_over(new).await,
+            Err(why) => error!(self.log, "the old configuration stays"; "why" => why),
+        }
+    }
+
+    /// Tells each actor where its peer is from now on. Those whose address has not changed drop nothing.
+    async fn change_over(&mut self, new: Config) {
+        info!(self.log, "new configuration"; "agent" => %new.agent, "announce" => %new.announce);
+        if new.agent != self.config.agent {
+            let _ = self.agent.send(agent::Word::Address(new.agent)).await;
+        }
+        if let Some(address) = new.records.filter(|_| new.records != self.config.records) {
+            let _ = self.records.send(records::Order::Address(address)).await;
+        }
+        if new.announce != self.config.announce {
+            let _ = self.list.send(list::Word::Address(new.announce)).await;
+        }
+        self.config = new;
+    }
+
     /// Waits for the next thing that may change the phase.
     async fn next(&mut self, at: Option<Micros>, notices: &mut Notices) -> Next {
         let Program { up, connections, clock, .. } = self;
@@ -154,8 +197,8 @@
             }
         };
         let notice = async {
-            notices.next().await;
-            Next::Notice
+            let notice = notices.next().await;
+            Next::Notice(notice)
         };
         let time = async {
             let Some(at) = at else { return future::pending().await };
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -14,6 +14,7 @@
 use slog::{info, Level};
 
 use lifecycle::config::Config;
+use lifecycle::signals::Notices;
 
 /// What the command line asks for.
 #[derive(Clone, Debug)]
@@ -31,7 +32,7 @@
     let verbose = long("verbose").short('v').help("Log each odd request too").switch();
     let serve = construct!(Command::Serve { config(), verbose })
         .to_options()
-        .descr("Serve balancers until told to leave")
+        .descr("Serve balancers until SIGTERM; SIGHUP reads the configuration again")
         .command("serve");
     let check = construct!(Command::Check { config() })
         .to_options()
@@ -44,11 +45,13 @@
 }
 
 fn serve(path: &std::path::Path, verbose: bool) -> Result<(), String> {
+    // Before anything else: a signal that comes early must not end the program by default.
+    let notices = Notices::new().map_err(|e| format!("signals: {e}"))?;
     let config = Config::load(path)?;
     let level = if verbose { Level::Debug } else { Level::Info };
     let (log, _guard) = lifecycle::log::start(&config.name, level);
     info!(log, "start"; "cold" => config.settings.cold, "version" => env!("CARGO_PKG_VERSION"), "listen" => %config.listen);
-    lifecycle::serve(config, log)
+    lifecycle::serve(config, path, notices, log)
 }
 
 fn main() -> ExitCode {
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -18,7 +18,7 @@
 use crate::memory::open::{Call, Open, Run, Table};
 use crate::peers::balancer::ReplyTo;
 use crate::peers::journal::Order;
-use crate::peers::{front, records};
+use crate::peers::{agent, front, list, records};
 use crate::wire::cgi::{Answer, Work};
 use crate::wire::jsonl::RunEnd;
 
@@ -90,11 +90,11 @@
 /// The mailboxes of the others.
 pub struct Others {
     /// The agent's link.
-    pub agent: Sender<Order>,
+    pub agent: Sender<agent::Word>,
     /// The records service.
     pub records: Sender<records::Order>,
-    /// The list; its mailbox holds the newest word only.
-    pub list: Sender<bool>,
+    /// The list.
+    pub list: Sender<list::Word>,
     /// The front.
     pub front: Sender<front::Order>,
     /// Told once the agent is up.
@@ -344,7 +344,7 @@
         self.events = vec![Event::Timer(Gauges::default())];
         self.events.extend(self.stop_at.map(|at| Event::Leave(at.saturating_sub(now))));
         let _ = self.others.up.try_send(());
-        let _ = self.others.list.force_send(self.ready.unwrap_or(true));
+        self.tell_list(self.ready.unwrap_or(true));
     }
 
     /// Answers to questions asked on the lost link will not come.
@@ -478,11 +478,20 @@
 
     fn order(&mut self, order: Order) {
         // The mailbox takes far more than the open requests can need; the agent's actor never waits.
-        if let Err(e) = self.others.agent.try_send(order) {
+        if let Err(e) = self.others.agent.try_send(agent::Word::Order(order)) {
             error!(self.log, "order lost"; "why" => %e);
         }
     }
 
+    /// The newest word counts: it takes the place of the oldest one where too many wait, but not that of an
+    /// address.
+    fn tell_list(&mut self, accepting: bool) {
+        let displaced = self.others.list.force_send(list::Word::Accepting(accepting));
+        if let Ok(Some(address @ list::Word::Address(_))) = displaced {
+            let _ = self.others.list.force_send(address);
+        }
+    }
+
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
             Action::Admit(id) => self.admit(&id),
@@ -501,7 +510,7 @@
             Action::Join(id) => self.join(&id),
             Action::Ready(word) => {
                 self.ready = Some(word);
-                let _ = self.others.list.force_send(word);
+                self.tell_list(word);
             }
             Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
             Action::CloseIdle(span) => drop(self.others.front.try_send(front::Order::CloseIdle(span))),
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -8,9 +8,9 @@
 /// A module with the far ends of all its mailboxes.
 struct Bench {
     module: Module,
-    agent: Receiver<Order>,
+    agent: Receiver<agent::Word>,
     records: Receiver<records::Order>,
-    list: Receiver<bool>,
+    list: Receiver<list::Word>,
     front: Receiver<front::Order>,
     words: Receiver<Word>,
     me: Sender<Word>,
@@ -28,7 +28,7 @@
 fn bench(halt: Halt) -> Bench {
     let (agent, agent_end) = async_channel::bounded(64);
     let (records, records_end) = async_channel::bounded(64);
-    let (list, list_end) = async_channel::bounded(1);
+    let (list, list_end) = async_channel::bounded(4);
     let (front, front_end) = async_channel::bounded(64);
     let (me, words) = async_channel::bounded(64);
     let others = Others { agent, records, list, front, up: async_channel::bounded(1).0 };
@@ -91,11 +91,19 @@
     }
 
     fn orders(&self) -> Vec<Order> {
-        all(&self.agent)
+        let order = |word| match word {
+            agent::Word::Order(order) => order,
+            other => panic!("{other:?}"),
+        };
+        all(&self.agent).into_iter().map(order).collect()
     }
 
     fn list(&mut self) -> Vec<bool> {
-        all(&self.list)
+        let word = |word| match word {
+            list::Word::Accepting(word) => word,
+            other => panic!("{other:?}"),
+        };
+        all(&self.list).into_iter().map(word).collect()
     }
 
     fn launched(&mut self, id: &str) {
@@ -265,14 +273,26 @@
     assert_eq!(arrival.repeats, None);
 }
 
+#[test]
+fn words_for_the_list_never_displace_its_new_address() {
+    let mut bench = bench(Halt::Pause);
+    let address = list::Word::Address(([127, 0, 0, 1], 9).into());
+    bench.module.others.list.try_send(address).expect("room");
+    for word in [true, false, true, false, true, false] {
+        bench.act(Action::Ready(word));
+    }
+    let words = all(&bench.list);
+    assert!(words.contains(&address) && words.contains(&list::Word::Accepting(false)), "{words:?}");
+}
+
 #[test]
 fn outward_words_reach_the_list_the_front_and_checks() {
     let mut bench = bench(Halt::Pause);
     bench.act(Action::Ready(false));
     bench.act(Action::Ready(true));
     bench.act(Action::Ready(false));
-    // Only the newest word matters.
-    assert_eq!(bench.list(), [false]);
+    // In order: the list heeds the newest.
+    assert_eq!(bench.list(), [false, true, false]);
     bench.act(Action::CloseIdle(70));
     assert!(matches!(all(&bench.front).as_slice(), [front::Order::CloseIdle(70)]));
     let reply_to = ReplyTo::new(bench.me.clone(), 1, 50);
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -1,5 +1,6 @@
 //! The link to the render farm agent.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -24,10 +25,22 @@
 /// Time until the next try after bytes that made no sense.
 const AFTER_NONSENSE: Duration = Duration::from_millis(200);
 
+/// Time for one try to connect.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// What the actor is told.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Something the agent is to do.
+    Order(Order),
+    /// Where the agent is from now on.
+    Address(SocketAddr),
+}
+
 /// The actor.
 pub struct Agent {
     address: SocketAddr,
-    orders: Receiver<Order>,
+    words: Receiver<Word>,
     module: Sender<Message>,
     journal: Journal,
     /// Number of the last notice that was read.
@@ -48,25 +61,31 @@
     Lost(std::io::Error),
     Ended,
     Malformed(Malformed),
+    /// The agent is at another address now.
+    Moved,
     /// The module is gone: so is the program.
     Alone,
 }
 
 impl Agent {
     /// A link that is not made yet.
-    pub fn new(address: SocketAddr, orders: Receiver<Order>, module: Sender<Message>, log: Logger) -> Agent {
-        Agent { address, orders, module, journal: Journal::default(), last: 0, log }
+    pub fn new(address: SocketAddr, words: Receiver<Word>, module: Sender<Message>, log: Logger) -> Agent {
+        Agent { address, words, module, journal: Journal::default(), last: 0, log }
     }
 
     /// Keeps a link up for as long as the module is there.
     pub async fn run(mut self) {
         loop {
-            match Async::<TcpStream>::connect(self.address).await {
+            // Without a link too the address may change.
+            self.heed_all();
+            let connected = stream::within(CONNECT, Async::<TcpStream>::connect(self.address)).await;
+            match connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into())) {
                 Ok(stream) => {
                     let _ = stream.get_ref().set_nodelay(true);
                     match self.link(stream).await {
                         Broken::Alone => return,
                         Broken::Lost(e) => warn!(self.log, "agent link lost"; "why" => %e),
+                        Broken::Moved => info!(self.log, "agent moved"; "to" => %self.address),
                         Broken::Ended => warn!(self.log, "agent link ended by the agent"),
                         Broken::Malformed(e) => {
                             warn!(self.log, "agent link closed"; "why" => %e);
@@ -99,9 +118,8 @@
 
     /// Writes what is to be written, reads what has come, or waits for either.
     async fn turn(&mut self, link: &mut Link) -> Result<(), Broken> {
-        while self.journal.len() < MAILBOX {
-            let Ok(order) = self.orders.try_recv() else { break };
-            self.journal.add(&order);
+        if self.heed_all() {
+            return Err(Broken::Moved);
         }
         if link.greeted && link.out.is_empty() {
             link.out = self.journal.take(BATCH);
@@ -117,12 +135,12 @@
             return Ok(());
         }
         let full = self.journal.len() >= MAILBOX;
-        let order = async {
+        let word = async {
             if full {
                 return future::pending().await;
             }
-            let order = self.orders.recv().await.map_err(|_| Broken::Alone)?;
-            Ok(Some(order))
+            let word = self.words.recv().await.map_err(|_| Broken::Alone)?;
+            Ok(Some(word))
         };
         let readable = async { link.stream.readable().await.map(|()| None).map_err(Broken::Lost) };
         let writable = async {
@@ -131,10 +149,34 @@
             }
             link.stream.writable().await.map(|()| None).map_err(Broken::Lost)
         };
-        if let Some(order) = future::or(readable, future::or(writable, order)).await? {
-            self.journal.add(&order);
+        match future::or(readable, future::or(writable, word)).await? {
+            Some(word) if self.heed_word(&word) => Err(Broken::Moved),
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes in all that was said; `true` if the agent has moved. What was written to the old address and may
+    /// not have been read there is in the journal, which restates it on the new link.
+    fn heed_all(&mut self) -> bool {
+        let mut moved = false;
+        while self.journal.len() < MAILBOX {
+            let Ok(word) = self.words.try_recv() else { break };
+            moved |= self.heed_word(&word);
+        }
+        moved
+    }
+
+    fn heed_word(&mut self, word: &Word) -> bool {
+        match word {
+            Word::Order(order) => {
+                self.journal.add(order);
+                false
+            }
+            Word::Address(address) => {
+                self.address = *address;
+                true
+            }
         }
-        Ok(())
     }
 
     async fn lines(&mut self, link: &mut Link) -> Result<(), Broken> {
--- a/crates/server/src/peers/journal.rs
+++ b/crates/server/src/peers/journal.rs
@@ -81,6 +81,10 @@
             // Stops are asked for again and again; without a link they must not pile up.
             return;
         }
+        if matches!(order, Order::Sample(_)) && unwritten().any(|e| e.kind == kind) {
+            // Neither must samples: the module asks for one after the other, whether or not they are answered.
+            return;
+        }
         self.next = number;
         let entry = Entry { number, kind, id: id.clone(), tag, line: command.line() };
         self.entries.push_back(entry);
@@ -249,12 +253,13 @@
     }
 
     #[test]
-    fn stops_do_not_pile_up_without_a_link() {
+    fn stops_and_samples_do_not_pile_up_without_a_link() {
         let mut journal = linked();
         journal.restart();
         for _ in 0..100 {
             journal.add(&Order::Freeze("a".into()));
+            journal.add(&Order::Sample(1));
         }
-        assert_eq!(journal.len(), 2);
+        assert_eq!(journal.len(), 3);
     }
 }
--- a/crates/server/src/peers/list.rs
+++ b/crates/server/src/peers/list.rs
@@ -11,55 +11,88 @@
 use super::{records, stream};
 use crate::wire::http;
 
-/// Words that may wait to be taken: a newer one takes the place of one that was not taken yet.
-pub const MAILBOX: usize = 1;
+/// Words that may wait to be taken.
+pub const MAILBOX: usize = 16;
 /// Time between reports; an entry lapses 3 s after the last.
 const EVERY: Duration = Duration::from_millis(700);
 /// Time for one report, and between a failed one and the next try.
 const LIMIT: Duration = Duration::from_millis(300);
 const RETRY: Duration = Duration::from_millis(100);
+/// Reports in a row without an answer after which the service counts as not reached.
+const LOST: u32 = 4;
+
+/// What the actor is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Whether this server takes work.
+    Accepting(bool),
+    /// Where the service is from now on.
+    Address(SocketAddr),
+}
 
 /// The actor.
 pub struct List {
     address: SocketAddr,
     path: String,
-    /// Whether this server takes work.
-    words: Receiver<bool>,
+    words: Receiver<Word>,
+    /// Whether this server takes work, once that is known.
+    accepting: Option<bool>,
+    /// Reports in a row that got no answer.
+    unheard: u32,
     link: Option<Async<TcpStream>>,
     log: Logger,
 }
 
 impl List {
     /// Reports of the server `name`.
-    pub fn new(address: SocketAddr, name: &str, words: Receiver<bool>, log: Logger) -> List {
-        List { address, path: format!("/announce/{name}"), words, link: None, log }
+    pub fn new(address: SocketAddr, name: &str, words: Receiver<Word>, log: Logger) -> List {
+        let path = format!("/announce/{name}");
+        List { address, path, words, accepting: None, unheard: 0, link: None, log }
     }
 
     /// Reports steadily from the first word on, and at once when it changes.
     pub async fn run(mut self) {
-        let Ok(mut word) = self.words.recv().await else { return };
-        let mut was_good = true;
-        loop {
+        while let Some(word) = self.next_word().await {
+            word.into_iter().for_each(|word| self.heed(word));
             while let Ok(newer) = self.words.try_recv() {
-                word = newer;
+                self.heed(newer);
             }
-            let good = stream::within(LIMIT, self.report(word)).await.unwrap_or(false);
-            if !good {
-                // A report cut short would leave its reply to be taken for that of the next.
-                self.link = None;
+            if let Some(accepting) = self.accepting {
+                let good = stream::within(LIMIT, self.report(accepting)).await.unwrap_or(false);
+                self.judge(good);
             }
-            if good != was_good {
-                was_good = good;
-                info!(self.log, "announce service"; "reached" => good);
-            }
-            let pause = async {
-                Timer::after(if good { EVERY } else { RETRY }).await;
-                Some(word)
-            };
-            match future::or(async { self.words.recv().await.ok() }, pause).await {
-                Some(newer) => word = newer,
-                None => return,
+        }
+    }
+
+    /// Waits until it is time to report, for a word that comes before that; `None` at the end.
+    async fn next_word(&mut self) -> Option<Option<Word>> {
+        let pause = async {
+            if self.accepting.is_none() {
+                return future::pending().await;
             }
+            Timer::after(if self.unheard == 0 { EVERY } else { RETRY }).await;
+            Some(None)
+        };
+        future::or(async { self.words.recv().await.ok().map(Some) }, pause).await
+    }
+
+    fn heed(&mut self, word: Word) {
+        match word {
+            Word::Accepting(accepting) => self.accepting = Some(accepting),
+            Word::Address(address) => (self.address, self.link) = (address, None),
+        }
+    }
+
+    /// A report without an answer may have counted all the same; it is repeated soon, on a connection of its
+    /// own, as its reply would be taken for that of the next. Only several in a row are worth a line.
+    fn judge(&mut self, good: bool) {
+        if !good {
+            self.link = None;
+        }
+        let before = self.unheard;
+        self.unheard = if good { 0 } else { before.saturating_add(1) };
+        if self.unheard == LOST || (good && before >= LOST) {
+            info!(self.log, "announce service"; "reached" => good);
         }
     }
 
--- a/crates/server/src/peers/records.rs
+++ b/crates/server/src/peers/records.rs
@@ -37,6 +37,8 @@
     Call(RequestId, Vec<u8>, Micros),
     /// Nobody waits for the call of this request any more.
     GiveUp(RequestId),
+    /// Where the service is from now on. Calls under way may end on their connections.
+    Address(SocketAddr),
 }
 
 /// Connections that stand idle, the one used last at the end.
@@ -102,6 +104,10 @@
                     self.calls.insert(id, self.executor.spawn(call));
                 }
                 Order::GiveUp(id) => drop(self.calls.remove(&id)),
+                Order::Address(address) => {
+                    // Connections of calls still under way go back to the old pool, which ends with them.
+                    (self.address, self.pool) = (address, Pool::default());
+                }
             }
         }
     }
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -91,6 +91,7 @@
     pub records: Records,
     pub announce: Announce,
     pub listen: SocketAddr,
+    config: Value,
     folder: PathBuf,
     server: Child,
 }
@@ -120,7 +121,7 @@
         let folder = scratch();
         std::fs::write(folder.join("config.json"), config.to_string()).expect("written");
         let server = launch(&folder);
-        World { agent, records, announce, listen, folder, server }
+        World { agent, records, announce, listen, config, folder, server }
     }
 
     /// A connection of a balancer.
@@ -143,6 +144,31 @@
         self.server = launch(&self.folder);
     }
 
+    /// Replaces the configuration file as a whole, as operators would, and says so.
+    pub fn reconfigure(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+        self.replace_file(&self.config.to_string());
+    }
+
+    /// Puts any text in the place of the configuration file, and says so.
+    pub fn replace_file(&self, text: &str) {
+        let new = self.folder.join("config.new");
+        std::fs::write(&new, text).expect("written");
+        std::fs::rename(new, self.folder.join("config.json")).expect("renamed");
+        self.signal("HUP");
+    }
+
+    /// The configuration that was written last.
+    pub fn config(&self) -> &Value {
+        &self.config
+    }
+
+    /// Takes the configuration file away, and says so.
+    pub fn remove_file(&self) {
+        std::fs::remove_file(self.folder.join("config.json")).expect("removed");
+        self.signal("HUP");
+    }
+
     /// Notice to drain.
     pub fn terminate(&self) {
         self.signal("TERM");
--- /dev/null
+++ b/crates/server/tests/reload.rs
@@ -0,0 +1,142 @@
+//! New configurations under a running server.
+
+mod common;
+
+use common::{Agent, Announce, Records, Request, World};
+use serde_json::json;
+
+#[test]
+fn a_new_configuration_moves_every_peer_and_loses_nothing() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.running("before");
+    world.agent.wait_samples(3);
+    let (agent, records, announce) = (Agent::start(), Records::start(), Announce::start());
+    let addresses = [agent.address, records.address, announce.address];
+    world.reconfigure(|config| {
+        for (field, address) in ["agent", "records", "announce"].into_iter().zip(addresses) {
+            config[field] = json!(address);
+        }
+    });
+    let (old, _old_records, _old_announce) = (
+        std::mem::replace(&mut world.agent, agent),
+        std::mem::replace(&mut world.records, records),
+        std::mem::replace(&mut world.announce, announce),
+    );
+    // Runs and numbers carry on at the new address: nothing is launched again.
+    world.agent.greet();
+    assert_eq!(world.agent.subscribed, [0]);
+    assert_eq!(world.announce.report(), "true");
+    world.agent.needs_call("before", b"x");
+    world.records.call().reply("200 OK", "", b"y");
+    assert_eq!(world.agent.expect("deliver").0, "before");
+    balancer.send(&Request::new(2, "after"));
+    assert_eq!(world.agent.expect("launch").0, "after");
+    for (slot, id) in [(1, "before"), (2, "after")] {
+        world.agent.outcome(id, "fine", id.as_bytes());
+        let answer = balancer.answer();
+        assert_eq!((answer.slot, answer.status, answer.body.as_slice()), (slot, 200, id.as_bytes()));
+    }
+    drop(old);
+}
+
+#[test]
+fn a_call_under_way_may_end_where_it_began() {
+    let mut world = World::up(|_| ());
+    let _balancer = world.running("a");
+    world.agent.needs_call("a", b"x");
+    let mut call = world.records.call();
+    let records = Records::start();
+    world.reconfigure(|config| config["records"] = json!(records.address));
+    let old = std::mem::replace(&mut world.records, records);
+    world.agent.wait_samples(3);
+    call.reply("200 OK", "", b"y");
+    world.agent.expect("deliver");
+    // Its connection carries nothing more: the next call goes to the new address.
+    world.agent.needs_call("a", b"z");
+    assert_eq!(world.records.call().request.body, b"z");
+    drop(old);
+}
+
+#[test]
+fn a_configuration_that_is_broken_or_changes_too_much_changes_nothing() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.running("a");
+    let sound = world.config().clone();
+    let with = |field: &str, value: serde_json::Value| {
+        let mut config = sound.clone();
+        config["agent"] = json!("127.0.0.1:1");
+        *config.pointer_mut(field).expect("a field") = value;
+        config.to_string()
+    };
+    let half = &sound.to_string()[..300];
+    let bad = [
+        half.to_owned(),
+        String::new(),
+        with("/name", json!("other")),
+        with("/listen", json!("127.0.0.1:1")),
+        with("/announce", json!("nowhere")),
+        with("/limits/sockets", json!(512)),
+        with("/settings/family_info/n_cores", json!(2)),
+        with("/settings/classes/0/name", json!("other")),
+    ];
+    for text in &bad {
+        world.replace_file(text);
+        world.agent.wait_samples(3);
+    }
+    world.remove_file();
+    world.agent.wait_samples(3);
+    // Still on the first link, on which nothing was said twice.
+    assert_eq!(world.agent.subscribed, [0]);
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert_eq!(world.announce.report(), "true");
+}
+
+#[test]
+fn several_notices_in_a_row_and_one_without_a_link_end_at_the_last_address() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    // Nobody is there: the server tries in vain until it is told of the next.
+    world.reconfigure(|config| config["agent"] = json!("127.0.0.1:1"));
+    balancer.send(&Request::new(1, "a"));
+    let (passed, last) = (Agent::start(), Agent::start());
+    world.reconfigure(|config| config["agent"] = json!(passed.address));
+    world.reconfigure(|config| config["agent"] = json!(last.address));
+    world.agent = last;
+    world.agent.greet();
+    assert_eq!(world.agent.expect("launch").0, "a");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    drop(passed);
+}
+
+#[test]
+fn a_leaving_server_still_moves() {
+    let mut world = World::up(|_| ());
+    let mut balancer = world.running("a");
+    world.terminate();
+    world.announce.expect("false");
+    let (agent, announce) = (Agent::start(), Announce::start());
+    let addresses = [agent.address, announce.address];
+    world.reconfigure(|config| {
+        (config["agent"], config["announce"]) = (json!(addresses[0]), json!(addresses[1]));
+    });
+    (world.agent, world.announce) = (agent, announce);
+    world.agent.greet();
+    world.announce.expect("false");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert!(world.ended().success());
+}
+
+#[test]
+fn a_notice_before_the_agent_is_up_is_heeded_too() {
+    let mut world = World::start(|_| ());
+    world.agent.linked();
+    let agent = Agent::start();
+    let address = agent.address;
+    world.reconfigure(|config| config["agent"] = json!(address));
+    world.agent = agent;
+    world.agent.greet();
+    assert_eq!(world.announce.report(), "true");
+}
--- a/crates/settings/src/names.rs
+++ b/crates/settings/src/names.rs
@@ -10,7 +10,7 @@
 }
 
 /// The names of an instance's gauges, in the order in which their values come.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GaugeNames(Vec<String>);
 
 impl GaugeNames {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -24,7 +24,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this span of the first try earns the full worth.
     pub aim: Micros,
@@ -47,7 +47,7 @@
 }
 
 /// A tenant and its quota over the whole fleet.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second, over all servers, within its share.
     pub quota_per_s: f64,
@@ -89,7 +89,7 @@
 }
 
 /// All that a server is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Seed for random numbers.
     pub seed: u64,
