--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -81,6 +81,8 @@
     Exercised(u64, bool),
     /// The agent did not carry out this command about this request.
     AgentRefused(String, String),
+    /// What the agent said about this request can't be true.
+    Senseless(String),
     /// A call is over, with the body of a good reply.
     Called(RequestId, Outcome, Micros, Vec<u8>),
     /// Notice to drain: the process is stopped after this span.
@@ -267,6 +269,7 @@
                 }
             }
             Message::AgentRefused(command, id) => self.agent_refused(&command, &id),
+            Message::Senseless(id) => self.end_unheard(&id, Outcome::Error),
             Message::Called(id, outcome, took, body) => self.called(id, outcome, took, body),
             Message::Leave(span) => {
                 self.stop_at = Some(now.saturating_add(span));
@@ -430,13 +433,23 @@
         self.events.push(Event::NeedsCall(open.id.clone()));
     }
 
+    /// Nothing was begun: the request is none that the agent knows. That says nothing about how runs do here,
+    /// so it is no failed run. Other commands may be refused because a new link restated them after they had
+    /// been carried out; the run they are about goes on, and ends by itself or when it is due.
     fn agent_refused(&mut self, command: &str, id: &str) {
-        let Some(open) = self.open.get(id).filter(|_| command != "freeze") else { return };
+        if command == "launch" {
+            self.end_unheard(id, Outcome::Moot);
+        }
+    }
+
+    /// Ends a request of whose run nothing more will be heard.
+    fn end_unheard(&mut self, id: &str, outcome: Outcome) {
+        let Some(open) = self.open.get(id) else { return };
         let id = open.id.clone();
         open.run = Run::None;
         self.stop_call(&id);
         self.answer(&id, Answer::Failed);
-        self.events.push(Event::Ended(id.clone(), Outcome::Error, 0));
+        self.events.push(Event::Ended(id.clone(), outcome, 0));
         self.sweep(&id);
     }
 
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -228,14 +228,14 @@
                 None => return Ok(()),
             },
             Notice::Refusal(command, id) => {
-                warn!(self.log, "agent refused"; "command" => &command, "request" => &id);
+                debug!(self.log, "agent refused"; "command" => &command, "request" => &id);
                 Message::AgentRefused(command, id)
             }
             // Were the link closed over it, the next one would bring it again.
             Notice::Senseless(id) => {
                 warn!(self.log, "a notice without sense"; "request" => &id);
                 self.journal.ended(&id);
-                Message::AgentRefused("notice".to_owned(), id)
+                Message::Senseless(id)
             }
             Notice::Aside => return Ok(()),
         };
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -19,14 +19,22 @@
 use crate::wire::buffer::Buffer;
 use crate::wire::cgi::{self, Answer, Ask, Work};
 use crate::wire::fastcgi::{self, Status};
-use crate::wire::responder::{Incoming, Responder, OPEN};
+use crate::wire::responder::{Incoming, Responder, BODY, OPEN, PARAMS};
 
 /// Messages that may wait: an answer for each open request, and words of the front.
 const MAILBOX: usize = 2 * OPEN;
 /// Beyond this much to be written nothing more is read.
 const UNWRITTEN: usize = 256 * 1024;
-/// A peer that takes nothing for so long, or leaves a request half sent, is closed.
+/// A peer that takes nothing for so long is closed.
 const STALLED: Duration = Duration::from_secs(30);
+/// Within this a new connection has sent its first whole request, and any request has come whole once it has
+/// begun. Balancers connect when they have something to send and send it in one go; who says nothing, or never
+/// comes to an end, is owed a close within 3 s and takes a place that others need. A connection that has asked
+/// once may be silent for as long as the front lets it.
+const WHOLE: Micros = 2_000_000;
+/// Bytes read for which no whole request came: those of a full number of requests at once, each as long as
+/// allowed. Whoever sends more is not about to ask.
+const USELESS: usize = OPEN * (PARAMS + BODY);
 /// After our end of the stream, the peer has this long to end its own: well over the time within which a
 /// request may cross a close.
 const LINGER: Duration = Duration::from_millis(200);
@@ -78,8 +86,10 @@
 pub struct Activity {
     /// When it last carried something.
     pub last: Cell<Micros>,
-    /// Requests open on it.
+    /// Whole requests open on it.
     pub open: Cell<usize>,
+    /// It has carried a whole request.
+    pub asked: Cell<bool>,
 }
 
 /// What all connections share.
@@ -135,6 +145,9 @@
     pending: BTreeMap<u16, Pending>,
     charge: Charge,
     written: usize,
+    /// Since when a whole request is awaited, and how many bytes came meanwhile.
+    awaits: Option<Micros>,
+    useless: usize,
     /// The peer sends no more, or nothing of use.
     deaf: bool,
     finishing: bool,
@@ -149,7 +162,8 @@
     ) -> Option<(Connection, Sender<Word>)> {
         let (me, words) = async_channel::bounded(MAILBOX);
         let charge = shared.budget.take(0)?;
-        activity.last.set(shared.clock.now());
+        let now = shared.clock.now();
+        activity.last.set(now);
         let responder = Responder::new(shared.connections);
         let connection = Connection {
             stream,
@@ -162,6 +176,8 @@
             pending: BTreeMap::new(),
             charge,
             written: 0,
+            awaits: Some(now),
+            useless: 0,
             deaf: false,
             finishing: false,
         };
@@ -198,12 +214,19 @@
         let mut busy = false;
         if self.reads() {
             match stream::read(&self.stream, &mut self.buffer)? {
-                Got::Bytes(_) => {
+                Got::Bytes(n) => {
                     self.touch();
+                    self.useless += n;
                     self.take().await;
+                    self.expect_whole();
                     busy = true;
                 }
                 Got::End => self.hear_no_more(),
+                // Only now, so that after a standstill what lies in the socket is read first.
+                Got::Nothing if self.is_late() => {
+                    debug!(self.shared.log, "no whole request came");
+                    self.hear_no_more();
+                }
                 Got::Nothing => {}
             }
         }
@@ -238,7 +261,28 @@
 
     fn hear_no_more(&mut self) {
         self.deaf = true;
+        self.awaits = None;
         self.responder.drop_partial();
+        self.buffer.consume(usize::MAX);
+    }
+
+    /// Begins to wait for a request of which a part has come. A peer that sends on and on must not be read
+    /// for ever either.
+    fn expect_whole(&mut self) {
+        let partial = self.responder.open() > self.responder.whole() || !self.buffer.unread().is_empty();
+        if partial {
+            self.awaits = self.awaits.or(Some(self.shared.clock.now()));
+        } else if self.activity.asked.get() {
+            self.awaits = None;
+        }
+        if self.useless > USELESS || self.is_late() {
+            debug!(self.shared.log, "much was sent and no whole request");
+            self.hear_no_more();
+        }
+    }
+
+    fn is_late(&self) -> bool {
+        self.awaits.is_some_and(|since| self.shared.clock.now() >= since + WHOLE)
     }
 
     /// Books the memory that the connection takes; without room for it, it is of no more use.
@@ -248,7 +292,7 @@
             warn!(self.shared.log, "no memory for a connection"; "bytes" => size);
             self.hear_no_more();
         }
-        self.activity.open.set(self.responder.open());
+        self.activity.open.set(self.responder.whole());
     }
 
     fn write(&mut self) -> std::io::Result<()> {
@@ -272,6 +316,7 @@
             Ready,
             Stalled,
         }
+        let now = self.shared.clock.now();
         let word = async { Ok(self.words.recv().await.map_or(Next::Ready, Next::Word)) };
         let readable = async {
             if !self.reads() {
@@ -285,19 +330,23 @@
             }
             self.stream.writable().await.map(|()| Next::Ready)
         };
-        let half_sent = self.responder.open() > self.responder.whole() || !self.buffer.unread().is_empty();
         let stalled = async {
-            if self.unwritten() == 0 && !half_sent {
+            if self.unwritten() == 0 {
                 return future::pending().await;
             }
             Timer::after(STALLED).await;
             Ok(Next::Stalled)
         };
-        match future::or(word, future::or(readable, future::or(writable, stalled))).await? {
+        let late = async {
+            let Some(since) = self.awaits.filter(|_| self.reads()) else { return future::pending().await };
+            Timer::after(Duration::from_micros((since + WHOLE).saturating_sub(now))).await;
+            Ok(Next::Ready)
+        };
+        let moment = future::or(stalled, late);
+        match future::or(word, future::or(readable, future::or(writable, moment))).await? {
             Next::Word(word) => self.heed(word),
             Next::Ready => {}
-            Next::Stalled if self.unwritten() > 0 => return Err(std::io::ErrorKind::TimedOut.into()),
-            Next::Stalled => self.hear_no_more(),
+            Next::Stalled => return Err(std::io::ErrorKind::TimedOut.into()),
         }
         Ok(false)
     }
@@ -305,6 +354,10 @@
     fn heed(&mut self, word: Word) {
         match word {
             Word::Answer(slot, serial, answer) => self.answer(slot, serial, &answer),
+            // Its place is needed: one that never asked loses it even with a part of a request sent.
+            Word::CloseIfIdle if self.responder.whole() == 0 && !self.activity.asked.get() => {
+                self.hear_no_more();
+            }
             Word::CloseIfIdle => self.finishing |= self.responder.open() == 0,
             Word::Finish => self.finishing = true,
         }
@@ -332,8 +385,7 @@
                     }
                 }
                 Err(why) => {
-                    warn!(self.shared.log, "connection closed"; "why" => %why);
-                    self.buffer.consume(usize::MAX);
+                    debug!(self.shared.log, "connection closed"; "why" => %why);
                     return self.hear_no_more();
                 }
             }
@@ -346,6 +398,9 @@
             // requests may be open.
             Incoming::Abort(slot) => self.pending.get(&slot).cloned().and_then(Pending::gone),
             Incoming::Request { slot, params, body, too_long } => {
+                // Any whole request shows a peer that speaks the protocol, except one longer than that allows.
+                self.activity.asked.set(self.activity.asked.get() || !too_long);
+                (self.awaits, self.useless) = (None, 0);
                 let serial = self.shared.serial.get() + 1;
                 self.shared.serial.set(serial);
                 self.pending.insert(slot, Pending { serial, id: None });
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -19,6 +19,11 @@
 pub const MAILBOX: usize = 64;
 /// Time between looks for idle connections.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Part of all places that is kept free for new connections: one in so many.
+const SPARE: usize = 5;
+/// A connection that carried something within this time may be about to carry more: a request that crosses a
+/// close by less than 50 ms is sent again, a later one is not.
+const SETTLED: Micros = 100_000;
 /// Time after which accepting is tried again when the system had no descriptor for it.
 const RETRY: Duration = Duration::from_millis(20);
 
@@ -140,12 +145,17 @@
         }
     }
 
-    /// The table is full: those that have been idle longest leave their places to the next ones. Several at
-    /// once, as a peer that does not end its own side keeps its place for a while.
+    /// Places run out: those that never asked leave theirs first, then those idle longest, so that a new peer
+    /// finds one without waiting for another to go. Peers that connect and say nothing, or ask once and stay,
+    /// would otherwise keep the usual ones out. One that has only just carried something stays: its next
+    /// request may be on its way.
     fn make_room(&self) {
-        let mut idle: Vec<&Entry> = self.all.values().filter(|e| e.activity.open.get() == 0).collect();
-        idle.sort_by_key(|e| e.activity.last.get());
-        for entry in idle.iter().take(self.most.div_ceil(8)) {
+        let now = self.shared.clock.now();
+        let excess = self.all.len().saturating_sub(self.most - self.most.div_ceil(SPARE));
+        let settled = |e: &&Entry| e.activity.open.get() == 0 && now >= e.activity.last.get() + SETTLED;
+        let mut idle: Vec<&Entry> = self.all.values().filter(settled).collect();
+        idle.sort_by_key(|e| (e.activity.asked.get(), e.activity.last.get()));
+        for entry in idle.iter().take(excess) {
             let _ = entry.words.try_send(Word::CloseIfIdle);
         }
     }
@@ -157,9 +167,7 @@
                 let _ = entry.words.try_send(Word::CloseIfIdle);
             }
         }
-        if self.all.len() >= self.most {
-            self.make_room();
-        }
+        self.make_room();
     }
 
     /// Connections that wait to be accepted may carry requests: they are taken before the socket closes.
--- a/crates/server/src/peers/records.rs
+++ b/crates/server/src/peers/records.rs
@@ -183,6 +183,10 @@
             }
         };
         match http::reply(buffer.unread(), ended) {
+            // Its length was not stated: it may as well have been cut off here.
+            Ok(Some(reply)) if ended && reply.size == buffer.unread().len() && !reply.is_framed() => {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
             Ok(Some(reply)) => {
                 let clean = reply.size == buffer.unread().len() && !ended;
                 return Ok(Reply { keep: reply.keep && clean, ..reply });
@@ -308,6 +312,41 @@
         });
     }
 
+    #[test]
+    fn a_spoilt_reply_is_no_reply_and_its_connection_is_not_used_again() {
+        with_records(4, |listener, orders, mail| async move {
+            let spoilt = [
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\nabcabcabc",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
+                "HTTP/1.1 200 OK\r\n\r\nabc",
+                "HTTP/1.1 OK 200\r\nContent-Length: 3\r\n\r\nabc",
+            ];
+            for text in spoilt {
+                orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                assert!(heard(&mut stream).await);
+                stream::write_all(&stream, text.as_bytes()).await.expect("written");
+                stream.get_ref().shutdown(std::net::Shutdown::Write).expect("shut");
+                assert_eq!(called(&mail).await, ("a".to_owned(), Outcome::Cut), "{text}");
+            }
+        });
+    }
+
+    #[test]
+    fn more_than_the_reply_is_never_read_as_the_next_one() {
+        with_records(4, |listener, orders, mail| async move {
+            for behind in ["HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz", "noise", ""] {
+                orders.send(Order::Call("a".into(), vec![], far())).await.expect("taken");
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                assert!(heard(&mut stream).await);
+                let before = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\n";
+                let reply = format!("{before}HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na{behind}");
+                stream::write_all(&stream, reply.as_bytes()).await.expect("written");
+                assert_eq!(called(&mail).await, ("a".to_owned(), Outcome::Ok));
+            }
+        });
+    }
+
     #[test]
     fn only_a_mark_proves_that_a_call_never_ran() {
         let read = |text: &str| {
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -36,6 +36,11 @@
 }
 
 impl Reply {
+    /// Whether it says itself where it ends.
+    pub fn is_framed(&self) -> bool {
+        self.status == 204 || self.header("content-length").or(self.header("transfer-encoding")).is_some()
+    }
+
     /// The value of a header, by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
@@ -79,23 +84,42 @@
     if matches!(reply.status, 204 | 304) {
         return Ok(Some((Vec::new(), 0, true)));
     }
-    if let Some(coding) = reply.header("transfer-encoding") {
-        if !coding.eq_ignore_ascii_case("chunked") {
-            return Err(Malformed("a transfer coding that is not known"));
-        }
-        return chunks(rest);
+    match framing(reply)? {
+        Framing::Chunked => chunks(rest),
+        Framing::Length(length) if length > BODY => Err(Malformed("a body too long")),
+        Framing::Length(length) => Ok(rest.get(..length).map(|b| (b.to_vec(), length, true))),
+        Framing::End if rest.len() > BODY => Err(Malformed("a body too long")),
+        Framing::End => Ok(ended.then(|| (rest.to_vec(), rest.len(), false))),
     }
-    match reply.header("content-length") {
-        Some(length) => {
-            let length: usize = length.trim().parse().map_err(|_| Malformed("a length that is no number"))?;
-            if length > BODY {
-                return Err(Malformed("a body too long"));
-            }
-            Ok(rest.get(..length).map(|b| (b.to_vec(), length, true)))
+}
+
+/// How the end of a body is told.
+enum Framing {
+    Length(usize),
+    Chunked,
+    /// By the end of the connection, which a break can't be told from.
+    End,
+}
+
+/// A reply must say in one way only how long it is: of two statements that differ one is wrong, and whichever
+/// is believed, what is read may not be what was sent.
+fn framing(reply: &Reply) -> Result<Framing, Malformed> {
+    let all =
+        |name: &'static str| reply.headers.iter().filter(move |(n, _)| n == name).map(|(_, v)| v.trim());
+    let mut lengths = all("content-length");
+    let (length, coding) = (lengths.next(), all("transfer-encoding").next());
+    if lengths.any(|other| Some(other) != length) || (length.is_some() && coding.is_some()) {
+        return Err(Malformed("lengths that contradict each other"));
+    }
+    match (length, coding) {
+        (_, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (_, Some(_)) => Err(Malformed("a transfer coding that is not known")),
+        // Digits alone: parsing takes a sign as well.
+        (Some(length), _) if length.bytes().all(|b| b.is_ascii_digit()) => {
+            length.parse().map(Framing::Length).map_err(|_| Malformed("a length that is no number"))
         }
-        None if rest.len() > BODY => Err(Malformed("a body too long")),
-        // A body without a length ends with the connection.
-        None => Ok(ended.then(|| (rest.to_vec(), rest.len(), false))),
+        (Some(_), _) => Err(Malformed("a length that is no number")),
+        (None, None) => Ok(Framing::End),
     }
 }
 
@@ -182,9 +206,20 @@
         assert!(kinds.iter().all(|&count| count > 20), "{kinds:?}");
     }
 
+    #[test]
+    fn one_length_said_twice_is_one_length() {
+        let twice = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc";
+        assert_eq!(reply(twice, false).expect("sound").expect("whole").body, b"abc");
+    }
+
     #[test]
     fn hostile_replies_are_refused() {
-        let bad: [&[u8]; 5] = [
+        let bad: [&[u8]; 10] = [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nabcde",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nabc",
             b"SSH-2.0-x\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -26,7 +26,8 @@
         params: Vec<u8>,
         /// Its body.
         body: Vec<u8>,
-        /// Parameters or body are longer than allowed, and were thrown away.
+        /// Parameters or body are longer than allowed. They were thrown away, and what of the request is
+        /// still to come is read past: its answer need not wait for that.
         too_long: bool,
     },
     /// The balancer gives an open request up.
@@ -50,7 +51,7 @@
             _ => (&mut self.body, BODY),
         };
         if to.len() + bytes.len() > most {
-            // Lengths are checked before memory is taken: the rest of the request is read past.
+            // Lengths are checked before memory is taken.
             self.too_long = true;
         }
         if !self.too_long {
@@ -185,6 +186,13 @@
             return Some(Incoming::Request { slot, params, body, too_long: open.too_long });
         } else if kind == kind::STDIN || !open.params_done {
             open.add(kind, content);
+            if open.too_long {
+                // With more behind it than anybody may send, the connection is of no more use after this.
+                (open.whole, open.keep) = (true, false);
+                (open.params, open.body) = Default::default();
+                let (params, body) = Default::default();
+                return Some(Incoming::Request { slot, params, body, too_long: true });
+            }
         }
         None
     }
--- /dev/null
+++ b/crates/server/tests/bad_clients.rs
@@ -0,0 +1,157 @@
+//! Clients that are no balancers: each gets a refusal, an error or a close, and nobody else suffers.
+
+mod common;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::balancer::record;
+use common::{Balancer, Request, World, PATIENCE};
+use serde_json::{json, Value};
+
+/// Idle connections are let be for far longer than a test waits.
+fn patient(config: &mut Value) {
+    config["settings"]["family_info"]["idle_us"] = json!(300_000_000);
+}
+
+/// Waits for the server to end the connection; what it sent before that.
+fn closed(mut stream: TcpStream) -> Vec<u8> {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+    let mut all = Vec::new();
+    match stream.read_to_end(&mut all) {
+        Err(e) if e.kind() != ErrorKind::ConnectionReset => panic!("not closed: {e}"),
+        _ => all,
+    }
+}
+
+fn begin(slot: u16) -> Vec<u8> {
+    record(1, slot, &[0, 1, 1, 0, 0, 0, 0, 0])
+}
+
+#[test]
+fn who_never_comes_to_an_end_is_closed() {
+    let world = World::up(patient);
+    let whole = Request::new(1, "half").bytes();
+    let starts = [
+        Vec::new(),
+        whole[..5].to_vec(),
+        whole[..whole.len() / 2].to_vec(),
+        [begin(1), record(4, 1, b"")].concat(),
+        // Nothing that belongs to a request.
+        record(11, 0, &[0; 8]),
+    ];
+    let sent = |bytes: &Vec<u8>| {
+        let mut stream = TcpStream::connect(world.listen).expect("connected");
+        stream.write_all(bytes).expect("written");
+        stream
+    };
+    let all: Vec<TcpStream> = starts.iter().map(sent).collect();
+    all.into_iter().for_each(|stream| drop(closed(stream)));
+}
+
+#[test]
+fn a_second_request_that_stays_half_sent_is_closed_too() {
+    let mut world = World::up(patient);
+    let mut balancer = world.running("a");
+    let half = Request::new(2, "half").bytes();
+    balancer.send_bytes(&half[..half.len() / 2]);
+    std::thread::sleep(Duration::from_millis(2_200));
+    // What is open on it is answered all the same.
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert_eq!(balancer.try_answer(), None);
+}
+
+#[test]
+fn a_balancer_may_be_silent_between_its_requests() {
+    let mut world = World::up(patient);
+    let mut balancer = world.balancer();
+    for id in ["a", "b"] {
+        balancer.send(&Request::new(1, id));
+        assert_eq!(world.agent.expect("launch").0, id);
+        world.agent.outcome(id, "fine", b"r");
+        assert_eq!(balancer.answer().body, b"r");
+        // Longer than a first request may take to come.
+        std::thread::sleep(Duration::from_millis(2_300));
+    }
+}
+
+#[test]
+fn a_run_may_take_longer_than_a_request_may_take_to_come() {
+    let mut world = World::up(patient);
+    let mut balancer = world.running("a");
+    std::thread::sleep(Duration::from_millis(2_300));
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+}
+
+#[test]
+fn endless_records_of_no_use_are_not_read_for_ever() {
+    let world = World::up(patient);
+    for flood in [record(9, 0, &[]), record(5, 7, &[0; 4096]), record(11, 0, &[0; 8])] {
+        let mut stream = TcpStream::connect(world.listen).expect("connected");
+        let flood = flood.repeat((1 << 20) / flood.len());
+        let mut sent = 0;
+        while sent < 64 && stream.write_all(&flood).is_ok() {
+            sent += 1;
+        }
+        assert!(sent < 64, "64 MB were read");
+    }
+}
+
+#[test]
+fn a_huge_body_is_refused_before_its_end() {
+    let mut world = World::up(patient);
+    let before = world.memory_kb();
+    let mut balancer = world.balancer();
+    let sound = Request::new(1, "a").bytes();
+    // All but the record that ends the body, and a part of what is to come.
+    balancer.send_bytes(&sound[..sound.len() - 11]);
+    balancer.send_bytes(&record(5, 1, &[7; 65_000]));
+    assert_eq!(balancer.answer().status, 400);
+    assert_eq!(balancer.try_answer(), None);
+    assert!(world.memory_kb() < before + 4_096);
+    assert!(world.is_alive());
+}
+
+#[test]
+fn peers_that_connect_and_say_nothing_keep_no_balancer_out() {
+    let mut world = World::up(|config| {
+        patient(config);
+        config["limits"]["sockets"] = 64.into();
+    });
+    let mut usual = world.balancer();
+    assert_eq!(usual.ask(&Request::check(1, "")).status, 200);
+    let crowd: Vec<TcpStream> =
+        (0..200).map(|_| TcpStream::connect(world.listen).expect("connected")).collect();
+    // All of the crowd has been let in when a later connection is served.
+    let mut last = Balancer::connect(world.listen);
+    assert_eq!(last.ask(&Request::check(1, "")).status, 200);
+    // The one that has asked before is still there, though idle for longer than any of them.
+    assert_eq!(usual.ask(&Request::check(2, "")).status, 200);
+    assert!(world.descriptors() <= 64, "{}", world.descriptors());
+    drop(crowd);
+    assert!(world.is_alive());
+}
+
+#[test]
+fn requests_that_the_agent_does_not_know_leave_no_trace_on_health() {
+    let mut world = World::up(|_| ());
+    let mut stranger = world.balancer();
+    for n in 0..40 {
+        let id = format!("{n:016x}");
+        stranger.send(&Request::new(1, &id));
+        assert_eq!(world.agent.expect("launch").0, id);
+        world.agent.say(&json!({"op": "refusal", "end": "launch", "id": id}));
+        assert_eq!(stranger.answer().status, 500);
+    }
+    // A server that took these for failed runs would be sick, and let two probes through at most.
+    let mut balancer = world.balancer();
+    for slot in 1..=5 {
+        balancer.send(&Request::new(slot, &format!("sound{slot}")));
+    }
+    for _ in 1..=5 {
+        world.agent.expect("launch");
+    }
+}
--- a/crates/server/tests/common/agent.rs
+++ b/crates/server/tests/common/agent.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Instant;
 
 use serde_json::{json, Value};
 
@@ -105,10 +106,13 @@
 
     /// The next command that is no sample.
     pub fn command(&mut self) -> Value {
+        let end = Instant::now() + PATIENCE;
         loop {
             if let Some(command) = self.commands.pop_front() {
                 return command;
             }
+            // Samples go on whatever happens.
+            assert!(Instant::now() < end, "waited in vain for a command");
             self.hear();
         }
     }
