--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -67,6 +67,18 @@
     Alone,
 }
 
+impl Broken {
+    /// Time until the next try. The same bytes may come again after nonsense: no need to meet them at full
+    /// speed. An agent that had greeted was there a moment ago, and what it has to say need not wait.
+    fn pause(&self, greeted: bool) -> Duration {
+        match self {
+            Broken::Malformed(_) => AFTER_NONSENSE,
+            _ if greeted => Duration::ZERO,
+            _ => RETRY,
+        }
+    }
+}
+
 impl Agent {
     /// A link that is not made yet.
     pub fn new(address: SocketAddr, words: Receiver<Word>, module: Sender<Message>, log: Logger) -> Agent {
@@ -79,37 +91,43 @@
             // Without a link too the address may change.
             self.heed_all();
             let connected = stream::within(CONNECT, Async::<TcpStream>::connect(self.address)).await;
-            match connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into())) {
+            let pause = match connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into())) {
                 Ok(stream) => {
-                    let _ = stream.get_ref().set_nodelay(true);
-                    match self.link(stream).await {
-                        Broken::Alone => return,
-                        Broken::Lost(e) => warn!(self.log, "agent link lost"; "why" => %e),
-                        Broken::Moved => info!(self.log, "agent moved"; "to" => %self.address),
-                        Broken::Ended => warn!(self.log, "agent link ended by the agent"),
-                        Broken::Malformed(e) => {
-                            warn!(self.log, "agent link closed"; "why" => %e);
-                            // The same bytes may come again: no need to meet them at full speed.
-                            Timer::after(AFTER_NONSENSE).await;
-                        }
-                    }
-                    if self.module.send(Message::LinkLost).await.is_err() {
+                    let (why, greeted) = self.link(stream).await;
+                    self.tell(&why);
+                    let gone = matches!(why, Broken::Alone);
+                    if gone || self.module.send(Message::LinkLost).await.is_err() {
                         return;
                     }
+                    why.pause(greeted)
                 }
-                Err(e) => debug!(self.log, "agent not reached"; "why" => %e),
-            }
-            Timer::after(RETRY).await;
+                Err(e) => {
+                    debug!(self.log, "agent not reached"; "why" => %e);
+                    RETRY
+                }
+            };
+            Timer::after(pause).await;
+        }
+    }
+
+    fn tell(&self, why: &Broken) {
+        match why {
+            Broken::Alone => {}
+            Broken::Lost(e) => warn!(self.log, "agent link lost"; "why" => %e),
+            Broken::Moved => info!(self.log, "agent moved"; "to" => %self.address),
+            Broken::Ended => warn!(self.log, "agent link ended by the agent"),
+            Broken::Malformed(e) => warn!(self.log, "agent link closed"; "why" => %e),
         }
     }
 
-    async fn link(&mut self, stream: Async<TcpStream>) -> Broken {
+    /// Serves one link until it is over; whether the agent has greeted on it.
+    async fn link(&mut self, stream: Async<TcpStream>) -> (Broken, bool) {
         let subscribe = Command::Subscribe { seq: self.last }.line();
         let buffer = Buffer::new(jsonl::LONGEST);
         let mut link = Link { stream, buffer, out: subscribe, greeted: false };
         loop {
             if let Err(why) = self.turn(&mut link).await {
-                return why;
+                return (why, link.greeted);
             }
             // An agent that never stops talking must not keep all others waiting.
             future::yield_now().await;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -294,11 +294,7 @@
             Event::Ended(id, outcome, took) => self.ended(now, &id, outcome, took),
             Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
             Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
-            Event::Gone(id) => {
-                if let Some(&seq) = self.names.get(&id) {
-                    self.let_go(seq, out);
-                }
-            }
+            Event::Gone(id) => self.names.get(&id).copied().into_iter().for_each(|seq| self.let_go(seq, out)),
             Event::Leave(grace) => {
                 let end = now + grace.saturating_sub(self.set.answer_slack.max(3 * self.sweep()));
                 self.leave = Some((now, end));
@@ -815,7 +811,10 @@
             if self.calls.failures >= CALL_TRIES {
                 self.calls.probe_at = now + PROBE_EVERY;
             }
-            out.push(Action::Call(r.id.clone(), until.min(now.saturating_add(time))));
+            // One that never comes back must leave time for another, or for the run to go on without.
+            let half = until.saturating_sub(now + rest) / 2;
+            let span = if half as f64 > typical as f64 * SLOW_CALLS { half.min(time) } else { time };
+            out.push(Action::Call(r.id.clone(), until.min(now.saturating_add(span))));
         }
     }
 }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -290,6 +290,21 @@
     }
 }
 
+#[test]
+fn a_call_that_never_comes_back_leaves_time_to_go_on() {
+    let mut server = server(calling(0.4));
+    send(&mut server, 0, &[("a", 0)]);
+    let out = step(&mut server, MS, vec![Event::NeedsCall(id("a"))]);
+    let until =
+        |out: &[Action]| out.iter().find_map(|a| if let Action::Call(_, t) = a { Some(*t) } else { None });
+    // Its aim is 2 s away.
+    let first = until(&out).expect("a call");
+    assert!(first < SEC, "{first}");
+    step(&mut server, first, vec![Event::Called(id("a"), Outcome::TimedOut, first)]);
+    let out = step(&mut server, first + 100 * MS, vec![busy()]);
+    assert!(until(&out).is_some_and(|second| second < 1_600 * MS), "{out:?}");
+}
+
 #[test]
 fn a_slow_dependency_that_is_far_from_crowded_gets_no_fewer_calls() {
     let mut set = calling(0.0);
