--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -162,11 +162,18 @@
         }
     }
 
-    /// Decides for as long as anyone may send messages: at once, on all that has come meanwhile. A run slot
-    /// that is free stands idle until the next step, so there is no waiting for more to come.
+    /// Decides for as long as anyone may send messages.
     pub async fn run(mut self) {
+        let mut next_step: Micros = 0;
         while self.wait().await {
-            self.step();
+            let early = next_step.saturating_sub(self.clock.now());
+            if early > 0 && !self.events.is_empty() {
+                Timer::after(Duration::from_micros(early)).await;
+                self.drain();
+            }
+            if self.step() {
+                next_step = self.clock.now() + self.settings.tick;
+            }
         }
     }
 
@@ -225,13 +232,14 @@
     }
 
     /// One step, if there is anything to tell.
-    fn step(&mut self) {
-        let Some(server) = self.server.as_mut().filter(|_| !self.events.is_empty()) else { return };
+    fn step(&mut self) -> bool {
+        let Some(server) = self.server.as_mut().filter(|_| !self.events.is_empty()) else { return false };
         let now = self.clock.now();
         let mut actions = Vec::new();
         server.step(now, std::mem::take(&mut self.events), &mut actions);
         actions.into_iter().for_each(|action| self.carry_out(now, action));
         self.answer_overdue(now);
+        true
     }
 
     /// The module answers all in time. Should it ever have lost sight of a request, as after a run that was
