--- a/src/choice.rs
+++ b/src/choice.rs
@@ -497,10 +497,11 @@
         }
         let (running, cores) = (self.running(), self.set.cores as usize);
         let most = ((self.crowd(now) * SAFE_SHARE) as usize).max(cores);
-        let crowded = self.crowding > f64::from(self.set.cores);
+        // The gauge looks back: where more wants a core than there are, in the mean or now, none is free.
+        let excess = self.crowding - f64::from(self.set.cores);
+        let taken = excess > 0.0 || gauges.on_cores.is_some_and(|on| on > f64::from(self.set.cores));
         let limit = &mut self.limit;
-        // The gauge looks back: where more wants a core than there are, none is free, whatever it says.
-        if gauges.cpu.unwrap_or(1.0) < BUSY && !crowded {
+        if gauges.cpu.unwrap_or(1.0) < BUSY && !taken {
             limit.slots = running + cores;
             limit.step = -1;
             limit.before = 0.0;
@@ -513,10 +514,10 @@
             }
             if (done - limit.before).abs() > noise {
                 limit.slots = limit.slots.saturating_add_signed(limit.step);
-            } else if crowded {
+            } else if excess > 0.0 {
                 // Flat, yet more wants a core than there are cores: what the gauge rule put on top in a
-                // lull only gets in the way, and counts are too few to show it. One step back.
-                limit.slots = limit.slots.saturating_sub(1);
+                // lull only gets in the way, and counts are too few to show it. Back by a quarter of it.
+                limit.slots = limit.slots.saturating_sub((excess / 4.0).max(1.0) as usize);
             }
             limit.before = done;
         }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -366,6 +366,47 @@
     assert!(admitted(&early).is_empty() && admitted(&reading).is_empty(), "{early:?} {reading:?}");
 }
 
+#[test]
+fn cores_that_are_taken_just_now_are_not_filled() {
+    let mut server = server(settings());
+    send(&mut server, 0, &[("a", 0), ("b", 0), ("c", 0)]);
+    // The gauge still shows the time before the start, and the mean of a single look is low.
+    let sudden = Event::Timer(Gauges { cpu: Some(0.3), on_cores: Some(6.0), ..Gauges::default() });
+    let out = step(&mut server, 500 * MS, vec![sudden]);
+    assert!(admitted(&out).is_empty(), "{out:?}");
+}
+
+/// Readings of half a second, in each of which this many want a core and nothing ends.
+fn crowded_readings(server: &mut Server, from: Micros, count: u64, on_cores: f64) -> Micros {
+    let look = Event::Timer(Gauges { cpu: Some(1.0), on_cores: Some(on_cores), ..Gauges::default() });
+    for n in 1..=25 * count {
+        step(server, from + n * 20 * MS, vec![look.clone()]);
+    }
+    from + 25 * count * 20 * MS
+}
+
+#[test]
+fn a_limit_that_crowds_the_cores_comes_back_by_a_part_of_the_crowd() {
+    let mut set = settings();
+    (set.cores, set.crowd, set.memory_kb) = (4, 32.0, 1e9);
+    set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (50 * SEC, 100 * SEC));
+    let mut server = taught(set);
+    let names: Vec<String> = (0..80).map(|n| format!("r{n}")).collect();
+    let arrivals = names.iter().map(|n| Event::Arrived(arrival(n, 0, 100 * SEC))).collect();
+    let mut now = 10 * SEC;
+    let mut running = admitted(&step(&mut server, now, arrivals)).len();
+    // A lull by the gauge: each reading adds the cores.
+    while running < 40 {
+        now += 500 * MS;
+        running += admitted(&step(&mut server, now, vec![idle()])).len();
+    }
+    now = crowded_readings(&mut server, now, 6, running as f64);
+    // As many as end are started again, less what the limit came back by: one a reading would be 6.
+    let ends = names[..running].iter().map(|n| ended(n, MS)).collect();
+    let again = admitted(&step(&mut server, now + MS, ends)).len();
+    assert!((4..running - 16).contains(&again), "{again} of {running}");
+}
+
 #[test]
 fn a_slow_dependency_gets_fewer_calls_at_once_and_more_when_it_is_quick_again() {
     let mut set = calling(0.0);
