--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -1,7 +1,7 @@
 //! The requests that are open here: given to this server and not answered, or answered while their run
 //! still goes on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use umberloom::interface::{Micros, RequestId};
 
@@ -70,10 +70,14 @@
     }
 }
 
-/// All open requests.
+/// All open requests. What each step asks for is found without a pass over all of them.
 #[derive(Debug, Default)]
 pub struct Table {
     all: BTreeMap<RequestId, Box<Open>>,
+    /// The same by the time at which their callers stop waiting.
+    by_due: BTreeSet<(Micros, RequestId)>,
+    /// Those that wait for another's result, by the other.
+    joined: BTreeMap<RequestId, Vec<RequestId>>,
 }
 
 impl Table {
@@ -82,6 +86,7 @@
         if self.all.contains_key(&open.id) {
             return Err(open);
         }
+        self.by_due.insert((open.due, open.id.clone()));
         self.all.insert(open.id.clone(), open);
         Ok(())
     }
@@ -93,7 +98,30 @@
 
     /// Forgets a request.
     pub fn remove(&mut self, id: &str) {
-        self.all.remove(id);
+        let Some(open) = self.all.remove(id) else { return };
+        self.by_due.remove(&(open.due, open.id));
+        let Some(other) = open.repeats.filter(|_| open.joined) else { return };
+        if let Some(waiting) = self.joined.get_mut(&other) {
+            waiting.retain(|waits| &**waits != id);
+            if waiting.is_empty() {
+                self.joined.remove(&other);
+            }
+        }
+    }
+
+    /// Notes that a request waits for the result of the one that it repeats.
+    pub fn join(&mut self, id: &str) {
+        let Some(open) = self.all.get_mut(id).filter(|open| !open.joined) else { return };
+        if let Some(other) = open.repeats.clone() {
+            open.joined = true;
+            self.joined.entry(other).or_default().push(open.id.clone());
+        }
+    }
+
+    /// Whether nothing is left, in any order of looking things up.
+    #[cfg(test)]
+    pub fn is_clear(&self) -> bool {
+        self.all.is_empty() && self.by_due.is_empty() && self.joined.is_empty()
     }
 
     /// How many there are.
@@ -104,13 +132,12 @@
 
     /// Requests that were to be answered before `time` and are not.
     pub fn overdue(&self, time: Micros) -> Vec<RequestId> {
-        let late = self.all.values().filter(|o| o.reply_to.is_some() && o.due <= time);
-        late.map(|o| o.id.clone()).collect()
+        let past = self.by_due.iter().take_while(|(due, _)| *due <= time).map(|(_, id)| id);
+        past.filter(|id| self.all.get(*id).is_some_and(|o| o.reply_to.is_some())).cloned().collect()
     }
 
     /// Requests that wait for the result of this one.
     pub fn joined_to(&self, id: &str) -> Vec<RequestId> {
-        let joined = self.all.values().filter(|o| o.joined && o.repeats.as_deref() == Some(id));
-        joined.map(|o| o.id.clone()).collect()
+        self.joined.get(id).cloned().unwrap_or_default()
     }
 }
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -593,7 +593,7 @@
     fn join(&mut self, id: &RequestId) {
         let Some(open) = self.open.get(id) else { return };
         let Some(other) = open.repeats.clone() else { return };
-        open.joined = true;
+        self.open.join(id);
         let result = self.keys.result(&other).map(<[u8]>::to_vec);
         if result.is_some() || self.open.get(&other).is_none() {
             self.end_joined(id, result.as_deref());
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -273,6 +273,28 @@
     assert_eq!(arrival.repeats, None);
 }
 
+#[test]
+fn of_requests_that_have_ended_nothing_is_left() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", Some("k"));
+    bench.act(Action::Admit("a".into()));
+    bench.act(Action::Keep("a".into(), 1_000_000));
+    for id in ["b", "c", "d"] {
+        bench.request(id, Some("k"));
+        bench.act(Action::Join(id.into()));
+    }
+    // One gives up waiting, one is refused; the last gets the other's result.
+    bench.hear(Message::Gone("b".into(), 2));
+    bench.act(Action::Refuse { id: "c".into(), stay_away: 0, terminal: false });
+    assert!(!bench.module.open.is_clear());
+    bench.hear(outcome("a", RunEnd::Fine(b"r".to_vec())));
+    let served = |serial| (serial, Answer::Served(b"r".to_vec()));
+    let answers = bench.answers();
+    assert!(answers.contains(&served(1)) && answers.contains(&served(4)), "{answers:?}");
+    assert!(answers.iter().all(|a| *a != served(2) && *a != served(3)), "{answers:?}");
+    assert!(bench.module.open.is_clear());
+}
+
 #[test]
 fn words_for_the_list_never_displace_its_new_address() {
     let mut bench = bench(Halt::Pause);
