A full table turns away at once, looks go on under traffic, no answer can be dropped

Change: the look has a time of its own and comes first; beyond the table a sixteenth of the places stands at the door, where every request is turned away by OVERLOADED; what never asked gives up its place to who comes; who comes while a place is being left waits for that, at most 0.3 s; else a close at once. One word to close waits at a time. A lost launch ends its request, a lost span is told again, and each kind of exhaustion is worth one warning a second.

--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -4,7 +4,9 @@
 pub mod config;
 pub mod log;
 pub mod phase;
+pub mod rare;
 pub mod signals;
+pub mod standstill;
 
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -22,7 +24,7 @@
 use crate::module::{self, Message, Module, Others};
 use crate::peers::agent::{self, Agent};
 use crate::peers::balancer::Shared;
-use crate::peers::front::{self, Front};
+use crate::peers::front::{self, Front, Places};
 use crate::peers::list::{self, List};
 use crate::peers::records::{self, Records};
 use clock::Clock;
@@ -58,6 +60,7 @@
     let clock = Clock::default();
     let executor = Rc::new(LocalExecutor::new());
     life.enter(Phase::Waiting);
+    executor.spawn(standstill::watch(log.clone())).detach();
     let program = Program::start(&executor, (config, path), listener, clock, &log);
     async_io::block_on(executor.run(program.live(life, notices)));
     Ok(())
@@ -131,7 +134,7 @@
             clock: clock.clone(),
             log: log.clone(),
         };
-        let from = (listener, parts.connections);
+        let from = (listener, Places::of(parts.connections));
         let idle = config.settings.idle_max;
         let connections =
             executor.spawn(Front::new(executor.clone(), from, shared, front_orders, idle).run());
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -6,13 +6,14 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
-use slog::{debug, error, Logger};
-use std::time::Duration;
+use slog::{debug, error, warn, Logger};
+use std::time::{Duration, Instant};
 use umberloom::interface::{Action, Arrival, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings};
 use umberloom::Server;
 use umberloom_settings::GaugeNames;
 
 use crate::lifecycle::clock::Clock;
+use crate::lifecycle::rare::Rare;
 use crate::memory::budget::Charge;
 use crate::memory::keys::Keys;
 use crate::memory::open::{Call, Open, Run, Table};
@@ -124,6 +125,10 @@
     tag: u64,
     checks: BTreeMap<u64, (Micros, ReplyTo)>,
     ready: Option<bool>,
+    /// How long connections may idle, where the front has not been told yet.
+    idle: Option<Micros>,
+    /// A mailbox was full.
+    full: Rare,
     /// Notice to drain: when the process is stopped.
     stop_at: Option<Micros>,
 }
@@ -158,6 +163,8 @@
             tag,
             checks,
             ready,
+            idle: None,
+            full: Rare::default(),
             stop_at,
         }
     }
@@ -217,6 +224,7 @@
     fn pass_time(&mut self, now: Micros) {
         if self.wake_at.is_some_and(|at| now >= at) {
             self.wake_at = None;
+            self.tell_front();
             self.keys.expire(now);
             self.tag += 1;
             self.sample = Some((self.tag, now + GAUGE_WAIT));
@@ -489,10 +497,28 @@
         }
     }
 
-    fn order(&mut self, order: Order) {
-        // The mailbox takes far more than the open requests can need; the agent's actor never waits.
-        if let Err(e) = self.others.agent.try_send(agent::Word::Order(order)) {
-            error!(self.log, "order lost"; "why" => %e);
+    /// Tells the agent's actor, which never waits; `false` if its mailbox is full. That takes far more orders
+    /// than the open requests can need.
+    fn order(&mut self, order: Order) -> bool {
+        let sent = self.others.agent.try_send(agent::Word::Order(order));
+        if sent.is_err() {
+            self.warn_full("agent");
+        }
+        sent.is_ok()
+    }
+
+    fn warn_full(&mut self, whose: &'static str) {
+        if let Some(more) = self.full.tell(Instant::now()) {
+            warn!(self.log, "a mailbox is full"; "whose" => whose, "not_told" => more);
+        }
+    }
+
+    /// The newest span counts; one that the front had no room to hear is told again.
+    fn tell_front(&mut self) {
+        let Some(span) = self.idle.take() else { return };
+        if self.others.front.try_send(front::Order::CloseIdle(span)).is_err() {
+            self.idle = Some(span);
+            self.warn_full("front");
         }
     }
 
@@ -526,7 +552,10 @@
                 self.tell_list(word);
             }
             Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
-            Action::CloseIdle(span) => drop(self.others.front.try_send(front::Order::CloseIdle(span))),
+            Action::CloseIdle(span) => {
+                self.idle = Some(span);
+                self.tell_front();
+            }
             Action::Wake(span) => self.wake_at = Some(now + span),
             Action::Log(text) => debug!(self.log, "module"; "says" => text),
         }
@@ -543,8 +572,22 @@
             Run::Paused => Order::Thaw(id.clone()),
             Run::None => Order::Launch(id.clone(), open.work.class.clone(), open.body.clone()),
         };
+        let before = (open.run, open.ran);
         (open.run, open.ran) = (Run::Going, true);
-        self.order(order);
+        if !self.order(order) {
+            self.not_begun(id, before);
+        }
+    }
+
+    /// What the agent never hears of does not go on. It ends at once, not when its time is up.
+    fn not_begun(&mut self, id: &RequestId, before: (Run, bool)) {
+        let Some(open) = self.open.get(id) else { return };
+        (open.run, open.ran) = before;
+        if open.run == Run::None {
+            self.answer(id, Answer::Failed);
+            self.later.push_back(Event::Ended(id.clone(), Outcome::Moot, 0));
+            self.sweep(id);
+        }
     }
 
     fn halt(&mut self, id: &RequestId) {
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -21,12 +21,13 @@
 use crate::wire::fastcgi::{self, Status};
 use crate::wire::responder::{Incoming, Responder, BODY, OPEN, PARAMS};
 
-/// Messages that may wait: an answer for each open request, and words of the front.
-const MAILBOX: usize = 2 * OPEN;
+/// Messages that may wait: an answer for each open request, and words of the front, of which one of each kind
+/// waits at most.
+pub(super) const MAILBOX: usize = 2 * OPEN;
 /// Beyond this much to be written nothing more is read.
 const UNWRITTEN: usize = 256 * 1024;
 /// A peer that takes nothing for so long is closed.
-const STALLED: Duration = Duration::from_secs(30);
+const STALLED: Micros = 30_000_000;
 /// Within this a new connection has sent its first whole request, and any request has come whole once it has
 /// begun. Balancers connect when they have something to send and send it in one go; who says nothing, or never
 /// comes to an end, is owed a close within 3 s and takes a place that others need. A connection that has asked
@@ -74,8 +75,8 @@
         self.serial
     }
 
-    /// Gives the answer. There is room for one for each open request; a connection that is gone has
-    /// nobody left to hear it.
+    /// Gives the answer. There is room for one for each open request (`the_mailbox_has_room_for_every_answer`
+    /// in `front.rs`); a connection that is gone has nobody left to hear it.
     pub fn answer(&self, answer: Answer) {
         let _ = self.to.try_send(Word::Answer(self.slot, self.serial, answer));
     }
@@ -145,12 +146,18 @@
     pending: BTreeMap<u16, Pending>,
     charge: Charge,
     written: usize,
+    /// When the peer last took something, or had taken all.
+    taken_at: Micros,
     /// Since when a whole request is awaited, and how many bytes came meanwhile.
     awaits: Option<Micros>,
     useless: usize,
     /// The peer sends no more, or nothing of use.
     deaf: bool,
     finishing: bool,
+    /// Something was written on it.
+    told: bool,
+    /// There is no place for it: until then it may ask, and is told so.
+    door: Option<Micros>,
 }
 
 impl Connection {
@@ -176,14 +183,23 @@
             pending: BTreeMap::new(),
             charge,
             written: 0,
+            taken_at: now,
             awaits: Some(now),
             useless: 0,
             deaf: false,
             finishing: false,
+            told: false,
+            door: None,
         };
         Some((connection, me))
     }
 
+    /// The same connection, but all that it asks within `span` is turned away, and then it ends.
+    pub fn turned_away(mut self, span: Micros) -> Connection {
+        self.door = Some(self.shared.clock.now() + span);
+        self
+    }
+
     /// Serves the connection until it is over.
     pub async fn run(mut self) {
         let ended = loop {
@@ -281,8 +297,14 @@
         }
     }
 
+    /// When patience with a peer that has not asked ends.
+    fn asks_until(&self) -> Option<Micros> {
+        let whole = self.awaits.map(|since| since + WHOLE);
+        whole.into_iter().chain(self.door).min()
+    }
+
     fn is_late(&self) -> bool {
-        self.awaits.is_some_and(|since| self.shared.clock.now() >= since + WHOLE)
+        self.asks_until().is_some_and(|until| self.shared.clock.now() >= until)
     }
 
     /// Books the memory that the connection takes; without room for it, it is of no more use.
@@ -300,6 +322,10 @@
         self.written += n;
         if n > 0 {
             self.touch();
+            self.told = true;
+        }
+        if n > 0 || self.unwritten() == 0 {
+            self.taken_at = self.shared.clock.now();
         }
         if self.written == self.responder.out.len() {
             self.written = 0;
@@ -334,12 +360,15 @@
             if self.unwritten() == 0 {
                 return future::pending().await;
             }
-            Timer::after(STALLED).await;
+            let until = self.taken_at + STALLED;
+            Timer::after(Duration::from_micros(until.saturating_sub(now))).await;
             Ok(Next::Stalled)
         };
         let late = async {
-            let Some(since) = self.awaits.filter(|_| self.reads()) else { return future::pending().await };
-            Timer::after(Duration::from_micros((since + WHOLE).saturating_sub(now))).await;
+            let Some(until) = self.asks_until().filter(|_| self.reads()) else {
+                return future::pending().await;
+            };
+            Timer::after(Duration::from_micros(until.saturating_sub(now))).await;
             Ok(Next::Ready)
         };
         let moment = future::or(stalled, late);
@@ -422,6 +451,12 @@
         body: Vec<u8>,
         too_long: bool,
     ) -> Option<Message> {
+        if self.door.is_some() {
+            self.pending.remove(&slot);
+            self.responder.turn_away(slot, Status::Overloaded);
+            self.finishing = true;
+            return None;
+        }
         let reply_to = ReplyTo::new(self.me.clone(), slot, serial);
         let (work, class) = match self.understand(params, too_long) {
             Ok(Meant::Check(full)) => return Some(Message::Check(Check { full, reply_to })),
@@ -458,6 +493,10 @@
     /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
     /// close with bytes unread would be a reset that may overtake an answer.
     async fn end(&mut self) {
+        if !self.told {
+            // Nothing was said that a reset could overtake.
+            return;
+        }
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
         let stream = &self.stream;
         let drained = stream::within(LINGER, async {
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -1,10 +1,11 @@
 //! The listening socket, and the connections that came from it.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -14,6 +15,7 @@
 use umberloom::interface::Micros;
 
 use super::balancer::{Activity, Connection, Shared, Word};
+use crate::lifecycle::rare::Rare;
 
 /// Words that may wait to be taken.
 pub const MAILBOX: usize = 64;
@@ -24,6 +26,14 @@
 /// A connection that carried something within this time may be about to carry more: a request that crosses a
 /// close by less than 50 ms is sent again, a later one is not.
 const SETTLED: Micros = 100_000;
+/// Places at the door, one for so many of all: connections beyond the table, on which every request is turned
+/// away. Without them what waits to be accepted would carry requests that nobody reads until their time is up.
+const DOOR: usize = 16;
+/// A connection at the door has this long to ask.
+const AT_DOOR: Micros = 250_000;
+/// A connection that was told to close is gone within this time, if it closes at all: until then new ones may
+/// wait for its place rather than be turned away.
+const LEAVES: Micros = 300_000;
 /// Time after which accepting is tried again when the system had no descriptor for it.
 const RETRY: Duration = Duration::from_millis(20);
 
@@ -36,9 +46,48 @@
     Finish,
 }
 
+/// How many connections there may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Places {
+    /// In the table: these are served.
+    pub table: usize,
+    /// Beyond it, at the door: these are turned away.
+    pub door: usize,
+}
+
+impl Places {
+    /// Parts the descriptors that connections may take.
+    pub fn of(connections: usize) -> Places {
+        let door = connections.div_ceil(DOOR).min(connections / 2);
+        Places { table: connections - door, door }
+    }
+}
+
 struct Entry {
     words: Sender<Word>,
     activity: Rc<Activity>,
+    at_door: bool,
+    /// When it was told to close.
+    told: Cell<Option<Micros>>,
+}
+
+impl Entry {
+    /// One such word at a time: a connection that is slow to take its mail must keep room there for its answers.
+    fn close_if_idle(&self, now: Micros) {
+        if self.words.is_empty() && self.words.try_send(Word::CloseIfIdle).is_ok() {
+            let since = self.told.get().filter(|told| *told >= self.activity.last.get());
+            self.told.set(since.or(Some(now)));
+        }
+    }
+
+    fn is_leaving(&self, now: Micros) -> bool {
+        let told = self.told.get().filter(|told| *told >= self.activity.last.get());
+        told.is_some_and(|told| now < told + LEAVES)
+    }
+
+    fn is_idle(&self) -> bool {
+        !self.at_door && self.activity.open.get() == 0
+    }
 }
 
 enum Next {
@@ -48,6 +97,14 @@
     Look,
 }
 
+/// What becomes of a connection that has just come.
+#[derive(Debug, PartialEq, Eq)]
+enum Lot {
+    Served,
+    TurnedAway,
+    Closed,
+}
+
 /// The actor.
 pub struct Front<'a> {
     executor: Rc<LocalExecutor<'a>>,
@@ -55,36 +112,58 @@
     shared: Shared,
     orders: Receiver<Order>,
     /// Most connections at once, so that descriptors last.
-    most: usize,
+    places: Places,
     idle: Micros,
     all: BTreeMap<u64, Entry>,
     next: u64,
     over: (Sender<u64>, Receiver<u64>),
+    /// When idle connections are looked for next, whatever else happens.
+    look_at: Instant,
+    full: Rare,
     log: Logger,
 }
 
 impl<'a> Front<'a> {
-    /// Connections from `listener`, at most `most` at once.
+    /// Connections from `listener`, as many at once as there are places.
     pub fn new(
         executor: Rc<LocalExecutor<'a>>,
-        (listener, most): (Async<TcpListener>, usize),
+        (listener, places): (Async<TcpListener>, Places),
         shared: Shared,
         orders: Receiver<Order>,
         idle: Micros,
     ) -> Front<'a> {
-        let over = async_channel::bounded(most.max(1));
+        let over = async_channel::bounded((places.table + places.door).max(1));
         let log = shared.log.clone();
-        let (listener, all) = (Some(listener), BTreeMap::new());
-        Front { executor, listener, shared, orders, most, idle, all, next: 0, over, log }
+        Front {
+            executor,
+            listener: Some(listener),
+            shared,
+            orders,
+            places,
+            idle,
+            all: BTreeMap::new(),
+            next: 0,
+            over,
+            look_at: Instant::now() + LOOK_EVERY,
+            full: Rare::default(),
+            log,
+        }
     }
 
     /// Accepts and looks after connections until, after the word to finish, none is left.
     pub async fn run(mut self) {
         while self.listener.is_some() || !self.all.is_empty() {
             match self.wait().await {
-                Next::Accepted(stream) => self.admit(stream),
+                Next::Accepted(stream) => {
+                    self.admit(stream);
+                    // What has come with it is read before the next one needs its place.
+                    future::yield_now().await;
+                }
                 Next::Over(number) => drop(self.all.remove(&number)),
-                Next::Look => self.close_idle(),
+                Next::Look => {
+                    self.look_at = Instant::now() + LOOK_EVERY;
+                    self.close_idle();
+                }
                 Next::Order(Some(Order::CloseIdle(span))) => self.idle = span,
                 Next::Order(Some(Order::Finish)) => self.finish(),
                 Next::Order(None) => return,
@@ -92,22 +171,34 @@
         }
     }
 
+    /// The next thing to do. A look that is due comes first, however much else there is: what keeps places free
+    /// must not depend on a lull.
     async fn wait(&self) -> Next {
+        if Instant::now() >= self.look_at {
+            return Next::Look;
+        }
         let over = async { self.over.1.recv().await.map_or(Next::Look, Next::Over) };
         let order = async { Next::Order(self.orders.recv().await.ok()) };
         let accepted = async {
             match &self.listener {
-                Some(listener) if self.all.len() < self.most => self.accept(listener).await,
+                Some(listener) if !self.place_is_coming() => self.accept(listener).await,
                 _ => future::pending().await,
             }
         };
         let look = async {
-            Timer::after(LOOK_EVERY).await;
+            Timer::at(self.look_at).await;
             Next::Look
         };
         future::or(over, future::or(order, future::or(accepted, look))).await
     }
 
+    /// Whether the table is full and a place in it is about to be free. Who waits for that is read within
+    /// [`LEAVES`]; where nothing leaves, nobody is let wait.
+    fn place_is_coming(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.all.len() >= self.places.table && self.all.values().any(|e| !e.at_door && e.is_leaving(now))
+    }
+
     async fn accept(&self, listener: &Async<TcpListener>) -> Next {
         loop {
             match listener.accept().await {
@@ -126,47 +217,86 @@
     }
 
     fn admit(&mut self, stream: TcpStream) {
+        let lot = self.lot();
+        if lot == Lot::Closed {
+            // With nothing run: its caller learns at once that it is to go elsewhere.
+            return;
+        }
         let _ = stream.set_nodelay(true);
         let Ok(stream) = Async::new_nonblocking(stream) else { return };
         let activity = Rc::new(Activity::default());
         let Some((connection, words)) = Connection::new(stream, self.shared.clone(), activity.clone()) else {
             return;
         };
+        let at_door = lot == Lot::TurnedAway;
+        let connection = if at_door { connection.turned_away(AT_DOOR) } else { connection };
         self.next += 1;
         let (number, over) = (self.next, self.over.0.clone());
-        self.all.insert(number, Entry { words, activity });
+        self.all.insert(number, Entry { words, activity, at_door, told: Cell::new(None) });
         let served = async move {
             connection.run().await;
             let _ = over.send(number).await;
         };
         self.executor.spawn(served).detach();
-        if self.all.len() >= self.most {
+        if self.all.len() >= self.places.table {
             self.make_room();
         }
     }
 
+    /// Where a new connection finds its place. One that has never asked gives up its own for it: balancers
+    /// connect when they have something to send, so what says nothing is likely to go on so.
+    fn lot(&mut self) -> Lot {
+        let Places { table, door } = self.places;
+        if self.all.len() < table {
+            return Lot::Served;
+        }
+        let now = self.shared.clock.now();
+        let at_door = self.all.values().filter(|e| e.at_door).count();
+        let leaving = self.all.values().filter(|e| !e.at_door && e.is_leaving(now)).count();
+        let room = self.all.len() < table + door;
+        let silent = |e: &&Entry| e.is_idle() && !e.activity.asked.get() && !e.is_leaving(now);
+        let lot = match self.all.values().find(silent) {
+            _ if !room => Lot::Closed,
+            _ if self.all.len() - at_door - leaving < table => Lot::Served,
+            Some(silent) => {
+                silent.close_if_idle(now);
+                Lot::Served
+            }
+            None => Lot::TurnedAway,
+        };
+        if lot != Lot::Served {
+            self.tell_full(at_door, leaving);
+        }
+        lot
+    }
+
+    fn tell_full(&mut self, at_door: usize, leaving: usize) {
+        if let Some(more) = self.full.tell(Instant::now()) {
+            let busy = self.all.values().filter(|entry| entry.activity.open.get() > 0).count();
+            warn!(self.log, "no place for a connection"; "not_told" => more, "leaving" => leaving,
+                "at_door" => at_door, "busy" => busy, "places" => self.places.table);
+        }
+    }
+
     /// Places run out: those that never asked leave theirs first, then those idle longest, so that a new peer
     /// finds one without waiting for another to go. Peers that connect and say nothing, or ask once and stay,
     /// would otherwise keep the usual ones out. One that has only just carried something stays: its next
     /// request may be on its way.
     fn make_room(&self) {
         let now = self.shared.clock.now();
-        let excess = self.all.len().saturating_sub(self.most - self.most.div_ceil(SPARE));
-        let settled = |e: &&Entry| e.activity.open.get() == 0 && now >= e.activity.last.get() + SETTLED;
+        let table = self.places.table;
+        let taken = self.all.values().filter(|e| !e.at_door).count();
+        let excess = taken.saturating_sub(table - table.div_ceil(SPARE));
+        let settled = |e: &&Entry| e.is_idle() && now >= e.activity.last.get() + SETTLED;
         let mut idle: Vec<&Entry> = self.all.values().filter(settled).collect();
         idle.sort_by_key(|e| (e.activity.asked.get(), e.activity.last.get()));
-        for entry in idle.iter().take(excess) {
-            let _ = entry.words.try_send(Word::CloseIfIdle);
-        }
+        idle.iter().take(excess).for_each(|entry| entry.close_if_idle(now));
     }
 
     fn close_idle(&self) {
         let now = self.shared.clock.now();
-        for entry in self.all.values() {
-            if entry.activity.open.get() == 0 && now - entry.activity.last.get() >= self.idle {
-                let _ = entry.words.try_send(Word::CloseIfIdle);
-            }
-        }
+        let idle = |e: &&Entry| e.is_idle() && now - e.activity.last.get() >= self.idle;
+        self.all.values().filter(idle).for_each(|entry| entry.close_if_idle(now));
         self.make_room();
     }
 
@@ -184,3 +314,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,6 +19,8 @@
 const READ_EVERY: Micros = 500_000;
 /// Time after which something that failed, or may fail, is tried again.
 const PROBE_EVERY: Micros = 100_000;
+/// Between steps no more than a sweep passes: after so much more the process stood still.
+const STANDSTILL: Micros = 1_000_000;
 /// Share of the survivable crowd, memory or calls that is made use of.
 const SAFE_SHARE: f64 = 0.85;
 /// Share of the expected run for which a request that can start at once must still have time.
@@ -132,6 +134,8 @@
     best: f64,
     /// Calls in hand at once: fewer while they take much longer than at best.
     bound: f64,
+    /// One was answered since the last reading.
+    heard: bool,
     failures: u32,
     probe_at: Micros,
     /// Ends of calls given up that the dependency may still hold.
@@ -191,6 +195,9 @@
     /// Notice to leave, and when all must be answered: well before the process is stopped.
     leave: Option<(Micros, Micros)>,
     read_at: Micros,
+    /// The last step, and the end of the last standstill.
+    stepped: Micros,
+    stood: Micros,
     awake: bool,
     /// Connections idle for longer are closed.
     idle: Micros,
@@ -261,6 +268,8 @@
             waits: Default::default(),
             leave: None,
             read_at: now + READ_EVERY,
+            stepped: now,
+            stood: now,
             awake: false,
             idle: set.idle_max,
             set,
@@ -269,6 +278,10 @@
 
     /// Takes in what happened and adds what is to be done about it.
     pub fn step(&mut self, now: Micros, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
+        if now > self.stepped + STANDSTILL {
+            self.stood = now;
+        }
+        self.stepped = now;
         self.count_calls(now);
         events.into_iter().for_each(|event| self.take(now, event, out));
         self.tell_health(out);
@@ -322,7 +335,10 @@
         let stretch = class.aim_stretch * a.cost.unwrap_or(0) as f64;
         let aim = (class.aim + stretch as Micros).min(class.deadline);
         let need = due.min((reached + aim).saturating_sub(age));
-        self.health.unread = blend(Some(self.health.unread), a.queued as f64);
+        // What came while the process stood still waited for that, not for this server to read.
+        if reached >= self.stood {
+            self.health.unread = blend(Some(self.health.unread), a.queued as f64);
+        }
         self.health.heard = true;
         let seq = self.next;
         self.next += 1;
@@ -358,7 +374,8 @@
     /// How old a try is at least, by its stated wait. Behind the first tier waits tell nothing: each is
     /// what its caller's own request has left.
     fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
-        let Some(waits) = a.waits.filter(|_| self.set.tier == 0) else { return 0 };
+        // One whose wait is over says nothing of how long that was.
+        let Some(waits) = a.waits.filter(|&w| w > 0 && self.set.tier == 0) else { return 0 };
         // Nobody waits for longer than a client does; who says so must not become a habit.
         let share = ((now + waits - reached) as f64 / class.deadline as f64).min(1.0);
         note_wait(&mut self.waits, share, !a.retry);
@@ -486,6 +503,11 @@
             self.health.sick &= self.health.errors > SICK.1;
             self.health.unread *= FADE;
         }
+        // Calls that take too long are not made, and those that are not made would never be quick again.
+        if let Some(typical) = self.calls.typical.filter(|_| !std::mem::take(&mut self.calls.heard)) {
+            let faded = self.calls.best + FADE * (typical - self.calls.best);
+            self.calls.typical = Some(faded).filter(|t| *t > self.calls.best * (1.0 + SAME_WAIT));
+        }
         self.close_idle(gauges.connections.unwrap_or(0.0), out);
         let mut used: Vec<f64> = (0..self.rates.len()).filter_map(|t| self.quota_used(now, t)).collect();
         used.sort_by(f64::total_cmp);
@@ -596,7 +618,10 @@
         }
         // It took at least so long: a server grown slow must notice by what it never finishes.
         let (stage, class, hint, ran) = (r.stage, r.class, r.hint, (now - r.started) as f64);
-        if !matches!(stage, Stage::Held | Stage::Joined) && ran > self.pace[class].unwrap_or(0.0) {
+        if r.started >= self.stood
+            && !matches!(stage, Stage::Held | Stage::Joined)
+            && ran > self.pace[class].unwrap_or(0.0)
+        {
             self.learn(class, hint, ran);
         }
         self.let_go(seq, out);
@@ -756,6 +781,7 @@
     fn ease_calls(&mut self, took: f64) {
         let most = (self.set.call_share * SAFE_SHARE).max(1.0);
         let calls = &mut self.calls;
+        calls.heard = true;
         let typical = blend(calls.typical, took);
         calls.best = if calls.typical.is_none() { typical } else { typical.min(calls.best * FORGET_BEST) };
         calls.typical = Some(typical);
@@ -770,7 +796,9 @@
             r.stage = Stage::Running;
             r.call_tries = 0;
             self.calls.failures = 0;
-            self.ease_calls(took as f64);
+            if now.saturating_sub(took) >= self.stood {
+                self.ease_calls(took as f64);
+            }
             return;
         }
         r.call_spent |= !outcome.never_ran();
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -504,6 +504,72 @@
     assert_eq!(said, [false, true]);
 }
 
+#[test]
+fn a_standstill_of_the_process_is_no_swamp() {
+    let mut server = server(settings());
+    let mut said = Vec::new();
+    for n in 0..20 {
+        send(&mut server, n * 100 * MS, &[]);
+        said.extend(told(&step(&mut server, n * 100 * MS, vec![busy()])));
+    }
+    // Nothing was run for ten seconds; what came meanwhile is read at once, long overdue.
+    let end = 12 * SEC;
+    let waited =
+        |n: u64| Event::Arrived(Arrival { queued: (n + 1) * 400 * MS, ..arrival(&format!("w{n}"), 0, 0) });
+    said.extend(told(&step(&mut server, end, (0..24).map(waited).collect())));
+    // What comes from then on is read as quickly as ever.
+    for n in 0..20 {
+        let now = end + (n + 1) * 50 * MS;
+        let quick = Arrival { queued: MS, ..arrival(&format!("q{n}"), 0, 6 * SEC) };
+        said.extend(told(&step(&mut server, now, vec![Event::Arrived(quick), busy()])));
+    }
+    assert_eq!(said, [], "it never was unwell");
+}
+
+#[test]
+fn a_standstill_teaches_nothing_about_runs_or_calls() {
+    let mut set = calling(0.0);
+    set.classes.iter_mut().for_each(|c| c.aim = 400 * MS);
+    let mut server = server(set);
+    let round = |server: &mut Server, now: Micros, name: &str| {
+        step(server, now, vec![Event::Arrived(arrival(name, 0, SEC))]);
+        let out = step(server, now, vec![Event::NeedsCall(id(name))]);
+        out.iter().any(|a| matches!(a, Action::Call(..)))
+    };
+    for n in 0..20 {
+        let (now, name) = (n * 100 * MS, format!("a{n}"));
+        assert!(round(&mut server, now, &name));
+        step(&mut server, now + 20 * MS, vec![Event::Called(id(&name), Outcome::Ok, 20 * MS)]);
+        step(&mut server, now + 40 * MS, vec![ended(&name, 40 * MS)]);
+    }
+    assert!(round(&mut server, 2 * SEC, "stood"));
+    let reply = Event::Called(id("stood"), Outcome::Ok, 10 * SEC);
+    step(&mut server, 12 * SEC, vec![reply]);
+    assert!(round(&mut server, 12 * SEC + 10 * MS, "next"), "a call is as quick as it was");
+}
+
+#[test]
+fn calls_that_seem_too_slow_to_be_made_are_made_again_by_and_by() {
+    let mut set = calling(0.0);
+    set.classes.iter_mut().for_each(|c| c.aim = 400 * MS);
+    let mut server = server(set);
+    let mut calls = 0;
+    for n in 0..60 {
+        let (now, name) = (n * 200 * MS, format!("a{n}"));
+        step(&mut server, now, vec![Event::Arrived(arrival(&name, 0, SEC)), busy()]);
+        let out = step(&mut server, now + MS, vec![Event::NeedsCall(id(&name))]);
+        let called = out.iter().any(|a| matches!(a, Action::Call(..)));
+        // For two seconds the dependency takes longer than any request has time, then 20 ms.
+        let took = if now < 2 * SEC { 900 * MS } else { 20 * MS };
+        calls += u32::from(called && now >= 10 * SEC);
+        if called {
+            step(&mut server, now + 20 * MS, vec![Event::Called(id(&name), Outcome::Ok, took)]);
+        }
+        step(&mut server, now + 40 * MS, vec![ended(&name, 40 * MS)]);
+    }
+    assert_eq!(calls, 10, "calls in the last two seconds");
+}
+
 #[test]
 fn a_sick_server_that_nobody_tries_is_ready_again_by_and_by() {
     let mut server = server(settings());
