--- a/crates/dependencies/src/budget.rs
+++ b/crates/dependencies/src/budget.rs
@@ -33,6 +33,16 @@
     (time >= first.least && time > 0).then_some(time)
 }
 
+/// A needed call may take so many times its stage's share.
+const OVERTIME: Micros = 2;
+
+/// How long the needed calls of a stage may go on that has the share `time` of what is `left`: without them the request
+/// fails, and what was saved for later stages with it. So they may have as much again, but for what later needed stages
+/// are to have (`kept`). A ceiling holds all the same.
+pub fn longest(left: Micros, time: Micros, kept: Micros, claim: &Claim) -> Micros {
+    (time * OVERTIME).min(left.saturating_sub(kept)).min(claim.most).max(time)
+}
+
 /// What runs still need after their calls, learned from runs that ended: mean and mean deviation, as retransmission
 /// timers have them (RFC 6298, section 2).
 #[derive(Clone, Copy, Debug, Default)]
@@ -103,6 +113,15 @@
         assert_eq!(share(100, &[claim(1.0, 50, 1_000, false), claim(1.0, 80, 1_000, false)]), Some(50));
     }
 
+    #[test]
+    fn what_is_needed_may_go_on_for_as_long_again() {
+        let plain = claim(1.0, 0, 1_000, true);
+        assert_eq!(longest(300, 100, 0, &plain), 200);
+        assert_eq!(longest(300, 100, 150, &plain), 150, "what later stages need stays theirs");
+        assert_eq!(longest(300, 100, 280, &plain), 100, "but its own share is its own");
+        assert_eq!(longest(300, 100, 0, &claim(1.0, 0, 120, true)), 120);
+    }
+
     #[test]
     fn the_reserve_follows_what_runs_need() {
         let mut rest = Rest::default();
--- a/crates/dependencies/src/engine.rs
+++ b/crates/dependencies/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::config::{Config, Fallback, Mistake};
 use crate::envelope::{Envelope, Part, Why};
 use crate::kept::{Kept, Subject};
-use crate::plan::{Doing, Plan, Run, Spec, Timer};
+use crate::plan::{Doing, Plan, Run, Spec, SpecCall, Timer};
 use crate::retry;
 use crate::service::{Service, ServiceView};
 use crate::{AttemptId, PlanId};
@@ -197,6 +197,7 @@
             again: ask.again,
             stage: 0,
             stage_until: now,
+            needed_until: now,
             runs: Vec::new(),
             done: Vec::new(),
             touched: false,
@@ -300,7 +301,8 @@
     fn begin_stage(&mut self, now: Micros, id: PlanId) {
         let Some(plan) = self.plans.get_mut(&id) else { return };
         let claims = plan.spec.claims(plan.stage);
-        let time = budget::share(plan.deadline.saturating_sub(now), &claims);
+        let left = plan.deadline.saturating_sub(now);
+        let time = budget::share(left, &claims);
         let runs: Vec<Run> = plan.spec.stages[plan.stage].1.iter().map(Run::new).collect();
         let count = runs.len();
         plan.runs = runs;
@@ -308,6 +310,8 @@
             Some(time) => {
                 plan.stage_until = now + time;
                 let stage = plan.stage;
+                let kept = needs_later(&self.services, &plan.spec, stage);
+                plan.needed_until = now + budget::longest(left, time, kept, &claims[0]);
                 self.set_timer(id, now + time, Timer::Stage(stage));
                 (0..count).for_each(|run| self.begin_run(now, id, run));
             }
@@ -316,12 +320,20 @@
         self.dirty.push(id);
     }
 
-    /// The stage's time is up: what is still under way is given up.
+    /// The stage's time is up: what is still under way is given up, but for needed calls that may go on.
     fn end_stage(&mut self, now: Micros, id: PlanId, out: &mut Vec<Action>) {
-        let Some(plan) = self.plans.get(&id) else { return };
-        for place in 0..plan.runs.len() {
+        let Some(plan) = self.plans.get_mut(&id) else { return };
+        let (until, stage) = (plan.needed_until, plan.stage);
+        let goes_on = now < until && plan.runs.iter().any(|run| run.needed && !run.is_over());
+        if goes_on {
+            plan.stage_until = until;
+            self.set_timer(id, until, Timer::Stage(stage));
+        }
+        let count = self.plans.get(&id).map_or(0, |plan| plan.runs.len());
+        for place in 0..count {
             let Some(run) = self.plans.get_mut(&id).map(|p| &mut p.runs[place]) else { return };
             let why = match run.doing {
+                _ if run.needed && goes_on => continue,
                 Doing::Over(_) => continue,
                 Doing::Flying => Why::OutOfTime,
                 Doing::Waiting(_) => Why::NoPlace,
@@ -432,7 +444,8 @@
             return self.fall_back(now, id, place, Why::NoPlace);
         }
         run.doing = Doing::Waiting(self.next);
-        let late = now + service.expected_wait(&waiter) >= plan.stage_until;
+        let until = if run.needed { plan.needed_until } else { plan.stage_until };
+        let late = now + service.expected_wait(&waiter) >= until;
         if late && !(service.limit.has_place() && service.waiting.first() == Some(&waiter)) {
             return self.fall_back(now, id, place, Why::NoPlace);
         }
@@ -468,7 +481,8 @@
         let settings = &service.config;
         let may_follow =
             settings.repeatable && run.further < settings.retry.most && service.budget.left() >= 1.0;
-        let until = service.attempt_until(now, plan.stage_until, may_follow);
+        let end = if run.needed { plan.needed_until } else { plan.stage_until };
+        let until = service.attempt_until(now, end, may_follow);
         let slow = settings.hedge.filter(|_| settings.repeatable).and_then(|hedge| {
             let usual = service.latency.quantile(now, hedge.quantile)?;
             Some(now + usual.max(hedge.least))
@@ -509,7 +523,7 @@
     fn hedge(&mut self, now: Micros, id: PlanId, place: usize, attempt: AttemptId, out: &mut Vec<Action>) {
         let Some(plan) = self.plans.get(&id) else { return };
         let Some(run) = plan.runs.get(place).filter(|run| run.flying == [attempt]) else { return };
-        let (number, until) = (run.service, plan.stage_until);
+        let (number, until) = (run.service, plan.until(run));
         let service = &self.services[number];
         if service.breaker.state(now) != breaker::State::Closed || !service.pool.has_another(&run.tried) {
             return;
@@ -532,7 +546,8 @@
         let harmless = (outcome.never_ran() && outcome != Outcome::Moot) || service.config.repeatable;
         let allowed = harmless && run.further < settings.most && service.breaker.allows(now);
         let wait = retry::back_off(&settings, run.further, &mut self.random);
-        let in_time = now + wait + (service.limit.typical() as Micros) < plan.stage_until;
+        let until = if run.needed { plan.needed_until } else { plan.stage_until };
+        let in_time = now + wait + (service.limit.typical() as Micros) < until;
         if !allowed || !in_time || !service.budget.take() {
             let why = run.last;
             return self.fall_back(now, id, place, why);
@@ -633,6 +648,17 @@
     }
 }
 
+/// The time that stages after this one typically need for what the request fails without.
+fn needs_later(services: &[Service], spec: &Spec, stage: usize) -> Micros {
+    let later = spec.stages[stage + 1..].iter().filter(|(claim, _)| claim.needed);
+    let time = |(claim, calls): &(budget::Claim, Vec<SpecCall>)| {
+        let needed = calls.iter().filter(|call| call.needed);
+        let typical = needed.map(|call| services[call.service].limit.typical() as Micros).max();
+        typical.unwrap_or(0).max(claim.least)
+    };
+    later.map(time).sum()
+}
+
 fn why(outcome: Outcome) -> Why {
     match outcome {
         Outcome::Refused => Why::Refused,
--- a/crates/dependencies/src/latency.rs
+++ b/crates/dependencies/src/latency.rs
@@ -7,6 +7,8 @@
 const SPAN: Micros = 10_000_000;
 /// Calls that a span must have seen before it speaks for itself.
 const ENOUGH: u64 = 20;
+/// Calls after which a quantile is worked out anew.
+const FRESH: u32 = 32;
 /// The longest time that is told apart, in microseconds: a minute.
 const LONGEST: u64 = 60_000_000;
 
@@ -16,6 +18,9 @@
     now: Histogram<u32>,
     before: Histogram<u32>,
     since: Micros,
+    /// The last quantile that was worked out, and how many calls ago.
+    last: Option<(f64, Micros)>,
+    age: u32,
 }
 
 impl Latency {
@@ -23,20 +28,27 @@
     pub fn new(now: Micros) -> Latency {
         // Bounds that are in order are never refused.
         let empty = Histogram::new_with_bounds(1, LONGEST, 2).expect("sound bounds");
-        Latency { now: empty.clone(), before: empty, since: now }
+        Latency { now: empty.clone(), before: empty, since: now, last: None, age: 0 }
     }
 
     /// A call took so long.
     pub fn add(&mut self, now: Micros, took: Micros) {
         self.turn(now);
         self.now.saturating_record(took.max(1));
+        self.age += 1;
     }
 
     /// The time within which this share of the calls ended; `None` before enough have.
     pub fn quantile(&mut self, now: Micros, share: f64) -> Option<Micros> {
         self.turn(now);
+        // To work it out passes over the whole histogram; some calls more or less hardly move it.
+        if let Some((_, found)) = self.last.filter(|(of, _)| *of == share && self.age < FRESH) {
+            return Some(found);
+        }
         let which = if self.now.len() >= ENOUGH { &self.now } else { &self.before };
-        (which.len() >= ENOUGH).then(|| which.value_at_quantile(share))
+        let found = (which.len() >= ENOUGH).then(|| which.value_at_quantile(share));
+        (self.last, self.age) = (found.map(|found| (share, found)), 0);
+        found
     }
 
     fn turn(&mut self, now: Micros) {
@@ -49,6 +61,7 @@
                 self.before.reset();
             }
             self.since = now;
+            self.last = None;
         }
     }
 }
@@ -99,6 +112,8 @@
         latency.add(SPAN, 5_000);
         assert!(near(latency.quantile(SPAN, 0.5), 1_000));
         (0..20).for_each(|_| latency.add(SPAN, 5_000));
+        // A figure may be some calls old.
+        (0..FRESH).for_each(|_| latency.add(SPAN, 5_000));
         assert!(near(latency.quantile(SPAN, 0.5), 5_000));
         assert_eq!(latency.quantile(4 * SPAN, 0.5), None);
     }
--- a/crates/dependencies/src/plan.rs
+++ b/crates/dependencies/src/plan.rs
@@ -127,6 +127,8 @@
     /// Number of the present stage, and when it ends.
     pub stage: usize,
     pub stage_until: Micros,
+    /// Until when its needed calls may go on.
+    pub needed_until: Micros,
     pub runs: Vec<Run>,
     /// Parts of earlier stages, in their order.
     pub done: Vec<(Rc<str>, Part)>,
@@ -134,3 +136,14 @@
     pub touched: bool,
     pub timers: Vec<(Micros, Timer)>,
 }
+
+impl Plan {
+    /// Until when a call of the present stage has time.
+    pub fn until(&self, run: &Run) -> Micros {
+        if run.needed {
+            self.needed_until
+        } else {
+            self.stage_until
+        }
+    }
+}
--- a/crates/dependencies/src/route.rs
+++ b/crates/dependencies/src/route.rs
@@ -131,31 +131,26 @@
     /// flight and time taken of late gets the call. Where none is in use, all are again: calls that may fail tell
     /// more than calls that are not made.
     pub fn pick(&self, now: Micros, avoid: &[usize], random: &mut impl Rng) -> Option<usize> {
-        let usable = |e: &Endpoint| !e.retired && e.limit.has_place();
-        let places = || (0..self.all.len()).filter(|&p| usable(&self.all[p]));
+        let usable = |p: &usize| !self.all[*p].retired && self.all[*p].limit.has_place();
         let due = |p: &usize| matches!(self.all[*p].state, State::Out(until) if now >= until);
-        if let Some(probe) = places().filter(|p| !avoid.contains(p)).find(due) {
-            return Some(probe);
-        }
+        let fresh = |p: &usize| !avoid.contains(p);
         let is_in = |p: &usize| matches!(self.all[*p].state, State::In(_));
-        let mut from: Vec<usize> = places().filter(is_in).collect();
-        if from.is_empty() && !self.all.iter().any(|e| !e.retired && matches!(e.state, State::In(_))) {
-            from = places().collect();
-        }
-        if from.iter().any(|p| !avoid.contains(p)) {
-            from.retain(|p| !avoid.contains(p));
+        let all = 0..self.all.len();
+        if let Some(probe) = all.clone().find(|p| due(p) && usable(p) && fresh(p)) {
+            return Some(probe);
         }
-        self.better_of_two(now, &from, random)
-    }
-
-    fn better_of_two(&self, now: Micros, from: &[usize], random: &mut impl Rng) -> Option<usize> {
-        let count = from.len();
+        let none_in = !all.clone().any(|p| !self.all[p].retired && is_in(&p));
+        let from = |p: &usize| usable(p) && (none_in || is_in(p));
+        let another = all.clone().any(|p| from(&p) && fresh(&p));
+        let from = |p: &usize| from(p) && (!another || fresh(p));
+        let count = all.clone().filter(from).count();
+        let nth = |n: usize| all.clone().filter(from).nth(n);
         if count < 2 {
-            return from.first().copied();
+            return nth(0);
         }
         let first = random.random_range(0..count);
         let second = (first + random.random_range(1..count)) % count;
-        let (first, second) = (from[first], from[second]);
+        let (first, second) = (nth(first)?, nth(second)?);
         Some(if self.cost(now, second) < self.cost(now, first) { second } else { first })
     }
 
