--- /dev/null
+++ b/crates/intake/src/places.rs
@@ -0,0 +1,327 @@
+//! Places for connections: who gets one, and who leaves one.
+
+use umberloom::interface::Micros;
+
+/// Places at the door, one for so many of all: connections beyond the table, on which every request is turned away.
+/// Without them what waits to be accepted would carry requests that nobody reads until their time is up.
+const DOOR: usize = 16;
+/// Part of the table that is kept free for new connections: one in so many.
+const SPARE: usize = 5;
+/// Part of its guaranteed places that nobody may borrow from a listener, one in so many: a surge starts there.
+const UNLENT: usize = 16;
+/// A connection that carried something within this time may be about to carry more.
+const SETTLED: Micros = 100_000;
+/// A connection that was told to close is gone within this time, if it closes at all.
+const LEAVES: Micros = 300_000;
+
+/// What is seen of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Its name; later ones have higher ones.
+    pub id: u64,
+    /// The listener that it came by.
+    pub listener: usize,
+    /// Whole requests open on it.
+    pub open: usize,
+    /// It has carried a whole request.
+    pub asked: bool,
+    /// When it last carried something.
+    pub last: Micros,
+    /// When it was told to close, if it has carried nothing since.
+    pub told: Option<Micros>,
+    /// It stands at the door.
+    pub at_door: bool,
+}
+
+impl Seen {
+    /// A connection that has just come.
+    pub fn new(id: u64, listener: usize, now: Micros) -> Seen {
+        Seen { id, listener, open: 0, asked: false, last: now, told: None, at_door: false }
+    }
+
+    fn is_leaving(&self, now: Micros) -> bool {
+        !self.at_door && self.told.is_some_and(|told| told >= self.last && now < told + LEAVES)
+    }
+
+    fn is_idle(&self) -> bool {
+        !self.at_door && self.open == 0
+    }
+}
+
+/// What becomes of a connection that has just come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lot {
+    /// It is served.
+    Served,
+    /// It may ask, and is told to go elsewhere.
+    TurnedAway,
+    /// It is closed at once, with nothing run.
+    Closed,
+}
+
+/// The places of one server and how they are shared.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Places {
+    table: usize,
+    door: usize,
+    guaranteed: Vec<usize>,
+}
+
+impl Places {
+    /// Parts so many descriptors among listeners with these weights.
+    pub fn new(descriptors: usize, weights: &[u32]) -> Places {
+        let door = descriptors.div_ceil(DOOR).min(descriptors / 2);
+        let table = descriptors - door;
+        let sum: usize = weights.iter().map(|&w| w as usize).sum();
+        let part = |&weight: &u32| table * weight as usize / sum.max(1);
+        Places { table, door, guaranteed: weights.iter().map(part).collect() }
+    }
+
+    /// Places in the table.
+    pub fn table(&self) -> usize {
+        self.table
+    }
+
+    /// Places in all, those at the door included.
+    pub fn all(&self) -> usize {
+        self.table + self.door
+    }
+
+    /// Places that a listener can always get back.
+    pub fn guaranteed(&self, listener: usize) -> usize {
+        self.guaranteed.get(listener).copied().unwrap_or(0)
+    }
+
+    /// Where a new connection of `listener` finds its place, and which connection is to be closed for it at once. One
+    /// that has never asked gives up its place to one that comes: peers connect when they have something to send, so
+    /// what says nothing is likely to go on so.
+    pub fn lot(&self, now: Micros, listener: usize, all: &[Seen]) -> (Lot, Option<u64>) {
+        if self.has_room(now, listener, all) {
+            return (Lot::Served, None);
+        }
+        if all.len() >= self.all() {
+            return (Lot::Closed, None);
+        }
+        let may_go = |s: &&Seen| s.is_idle() && !s.asked && !s.is_leaving(now);
+        let taken = self.taken(all);
+        // Within its part a listener may take the place of any that has more than its own; beyond it only of its own.
+        let over = |s: &&Seen| taken[s.listener] > self.guaranteed(s.listener);
+        let within = taken.get(listener).copied().unwrap_or(0) < self.guaranteed(listener);
+        let lent = all.iter().filter(may_go).find(|s| s.listener != listener && within && over(s));
+        match lent.or_else(|| all.iter().filter(may_go).find(|s| s.listener == listener)) {
+            Some(silent) => (Lot::Served, Some(silent.id)),
+            None => (Lot::TurnedAway, None),
+        }
+    }
+
+    /// Whether there is a place that this listener may take: its own, or one that others leave.
+    fn has_room(&self, now: Micros, listener: usize, all: &[Seen]) -> bool {
+        let leaving = all.iter().filter(|s| s.is_leaving(now)).count();
+        let taken = self.taken(all);
+        let in_table: usize = taken.iter().sum();
+        let free = (self.table + leaving).saturating_sub(in_table);
+        if all.len() >= self.all() || free == 0 {
+            return false;
+        }
+        let mine = taken.get(listener).copied().unwrap_or(0);
+        mine < self.guaranteed(listener) || free > self.unlent(listener, &taken)
+    }
+
+    /// Free places that must stay for the others.
+    fn unlent(&self, listener: usize, taken: &[usize]) -> usize {
+        let kept = |other: usize| (self.guaranteed[other] / UNLENT).max(1).min(self.guaranteed[other]);
+        let others = (0..self.guaranteed.len()).filter(|&other| other != listener);
+        others.map(|other| kept(other).min(self.guaranteed[other].saturating_sub(taken[other]))).sum()
+    }
+
+    fn taken(&self, all: &[Seen]) -> Vec<usize> {
+        let mut taken = vec![0; self.guaranteed.len()];
+        for seen in all.iter().filter(|s| !s.at_door) {
+            if let Some(count) = taken.get_mut(seen.listener) {
+                *count += 1;
+            }
+        }
+        taken
+    }
+
+    /// Whether nothing is to be accepted for now, as a place is about to be free: who waits for that is read within
+    /// 0.3 s. Where nothing leaves, nobody is let wait.
+    pub fn is_coming(&self, now: Micros, all: &[Seen]) -> bool {
+        all.len() >= self.table && all.iter().any(|s| s.is_leaving(now))
+    }
+
+    /// Connections that are to close for having been idle, each listener with a span of its own, and for a fifth of the
+    /// places to be free: those that never asked first, then those idle longest, none that has only just carried
+    /// something. Of listeners that have more than their part come the first.
+    pub fn to_close(&self, now: Micros, spans: &[Micros], all: &[Seen]) -> Vec<u64> {
+        let span = |s: &Seen| spans.get(s.listener).copied().unwrap_or(Micros::MAX);
+        let idle = all.iter().filter(|s| s.is_idle());
+        let mut close: Vec<u64> =
+            idle.clone().filter(|s| now.saturating_sub(s.last) >= span(s)).map(|s| s.id).collect();
+        let taken = self.taken(all);
+        let in_table: usize = taken.iter().sum();
+        let keep = self.table - self.table.div_ceil(SPARE);
+        let excess = in_table.saturating_sub(keep).saturating_sub(close.len());
+        let mut more: Vec<&Seen> =
+            idle.filter(|s| now >= s.last + SETTLED && !close.contains(&s.id)).collect();
+        let within = |s: &Seen| taken[s.listener] <= self.guaranteed(s.listener);
+        more.sort_by_key(|s| (s.asked, within(s), s.last));
+        close.extend(more.iter().take(excess).map(|s| s.id));
+        close
+    }
+
+    /// Connections with something open that are to close after it, so that a listener under its part finds the places
+    /// that were lent: as many as are missing, of those that have most beyond their part, the latest first.
+    pub fn to_give_back(&self, all: &[Seen]) -> Vec<u64> {
+        let mut taken = self.taken(all);
+        let in_table: usize = taken.iter().sum();
+        if in_table < self.table {
+            return Vec::new();
+        }
+        let missing = |listener: usize| self.guaranteed[listener].saturating_sub(taken[listener]);
+        let mut missing: usize = (0..taken.len()).map(missing).sum();
+        let mut back = Vec::new();
+        for seen in all.iter().rev().filter(|s| !s.at_door && s.told.is_none()) {
+            if missing > 0 && taken[seen.listener] > self.guaranteed[seen.listener] {
+                taken[seen.listener] -= 1;
+                missing -= 1;
+                back.push(seen.id);
+            }
+        }
+        back
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn busy(id: u64, listener: usize) -> Seen {
+        Seen { open: 1, asked: true, ..Seen::new(id, listener, 0) }
+    }
+
+    fn idle(id: u64, listener: usize, last: Micros) -> Seen {
+        Seen { asked: true, ..Seen::new(id, listener, last) }
+    }
+
+    #[test]
+    fn one_listener_has_all_places() {
+        let places = Places::new(312, &[1]);
+        assert_eq!((places.table(), places.all(), places.guaranteed(0)), (292, 312, 292));
+        let mut all: Vec<Seen> = (0..291).map(|id| busy(id, 0)).collect();
+        assert_eq!(places.lot(0, 0, &all), (Lot::Served, None));
+        all.push(busy(291, 0));
+        assert_eq!(places.lot(0, 0, &all), (Lot::TurnedAway, None));
+        all.extend((292..312).map(|id| Seen { at_door: true, ..busy(id, 0) }));
+        assert_eq!(places.lot(0, 0, &all), (Lot::Closed, None));
+    }
+
+    #[test]
+    fn what_one_leaves_the_other_borrows_but_for_a_start() {
+        let places = Places::new(34, &[1, 1]);
+        assert_eq!((places.table(), places.guaranteed(0)), (31, 15));
+        let all: Vec<Seen> = (0..30).map(|id| busy(id, 0)).collect();
+        assert_eq!(places.lot(0, 0, &all).0, Lot::TurnedAway, "the last place is the other's");
+        assert_eq!(places.lot(0, 1, &all).0, Lot::Served);
+        assert_eq!(places.lot(0, 0, &all[..29]).0, Lot::Served);
+    }
+
+    #[test]
+    fn borrowed_places_come_back() {
+        let places = Places::new(34, &[1, 1]);
+        let mut all: Vec<Seen> = (0..31).map(|id| busy(id, 0)).collect();
+        assert_eq!(places.lot(0, 1, &all).0, Lot::TurnedAway);
+        // The latest of those that were lent, as many as the other has a right to.
+        let back = places.to_give_back(&all);
+        assert_eq!(back, (16..31).rev().collect::<Vec<u64>>());
+        all.retain(|s| !back.contains(&s.id));
+        assert_eq!(places.lot(0, 1, &all), (Lot::Served, None));
+        assert_eq!(places.to_give_back(&all), []);
+    }
+
+    #[test]
+    fn a_thousand_silent_ones_do_not_keep_a_surge_out() {
+        let places = Places::new(34, &[1, 1]);
+        let mut all: Vec<Seen> = (0..31).map(|id| Seen::new(id, 1, 0)).collect();
+        for id in 100..115 {
+            let (lot, closed) = places.lot(0, 0, &all);
+            assert_eq!(lot, Lot::Served);
+            let closed = closed.expect("one that never asked");
+            all.retain(|s| s.id != closed);
+            all.push(busy(id, 0));
+        }
+        // Its part is reached: from here on only its own silent ones would give way.
+        assert_eq!(places.lot(0, 0, &all).0, Lot::TurnedAway);
+    }
+
+    #[test]
+    fn a_place_that_is_coming_is_waited_for_but_not_for_long() {
+        let places = Places::new(4, &[1]);
+        let mut all = vec![busy(0, 0), Seen { told: Some(10), ..idle(1, 0, 5) }, busy(2, 0)];
+        assert!(places.is_coming(20, &all) && !places.is_coming(10 + LEAVES, &all));
+        all[1].last = 11;
+        assert!(!places.is_coming(20, &all), "it has carried something since");
+    }
+
+    #[test]
+    fn a_fifth_is_kept_free_and_what_never_asked_goes_first() {
+        let places = Places::new(11, &[1]);
+        assert_eq!(places.table(), 10);
+        let mut all: Vec<Seen> = (0..9).map(|id| idle(id, 0, id * 10)).collect();
+        all[5].asked = false;
+        all[8].last = SETTLED;
+        let now = SETTLED + 80;
+        assert_eq!(places.to_close(now, &[Micros::MAX], &all), [5]);
+        all.push(busy(9, 0));
+        assert_eq!(places.to_close(now, &[Micros::MAX], &all), [5, 0]);
+        assert_eq!(places.to_close(now, &[SETTLED + 70], &all), [0, 1]);
+    }
+
+    #[test]
+    fn the_span_of_one_listener_is_not_that_of_another() {
+        let places = Places::new(40, &[1, 1]);
+        let all = [idle(0, 0, 0), idle(1, 1, 0)];
+        assert_eq!(places.to_close(1_000, &[500, 5_000], &all), [0]);
+    }
+
+    fn connections(listeners: usize) -> impl Strategy<Value = Vec<(usize, usize, bool, Micros)>> {
+        prop::collection::vec((0..listeners, 0usize..3, any::<bool>(), 0u64..1_000_000), 0..200)
+    }
+
+    proptest! {
+        /// Whatever comes: never more connections than places, and a listener under its part is served as soon as
+        /// what was lent has been given back.
+        #[test]
+        fn places_are_kept_and_given_back(
+            descriptors in 8usize..100, weights in prop::collection::vec(1u32..5, 1..4), steps in connections(3),
+        ) {
+            let places = Places::new(descriptors, &weights);
+            let mut all: Vec<Seen> = Vec::new();
+            for (id, (listener, open, asked, now)) in steps.into_iter().enumerate() {
+                let listener = listener % weights.len();
+                let (lot, closed) = places.lot(now, listener, &all);
+                if let Some(closed) = closed {
+                    prop_assert!(all.iter().any(|s| s.id == closed && s.open == 0 && !s.asked));
+                    all.retain(|s| s.id != closed);
+                }
+                if lot != Lot::Closed {
+                    let at_door = lot == Lot::TurnedAway;
+                    all.push(Seen { open, asked, at_door, ..Seen::new(id as u64, listener, now) });
+                }
+                prop_assert!(all.len() <= places.all());
+                prop_assert!(all.iter().filter(|s| !s.at_door).count() <= places.table());
+                let close = places.to_close(now, &vec![500_000; weights.len()], &all);
+                prop_assert!(close.iter().all(|id| all.iter().any(|s| s.id == *id && s.open == 0)));
+            }
+            let back = places.to_give_back(&all);
+            all.retain(|s| !back.contains(&s.id) && !s.at_door);
+            for listener in 0..weights.len() {
+                let taken = all.iter().filter(|s| s.listener == listener).count();
+                if taken < places.guaranteed(listener) {
+                    prop_assert_eq!(places.lot(0, listener, &all).0, Lot::Served);
+                }
+            }
+        }
+    }
+}
