What actors say to each other stands below them all, and names no protocol

Change: exchange/ holds requests, answers, health checks, the words of connections and the orders of each actor; actors import it and not each other; wire/cgi.rs writes answers, which no longer know how. No change of behaviour.

--- /dev/null
+++ b/crates/server/src/exchange/caller.rs
@@ -0,0 +1,142 @@
+//! Those who ask: their requests, the answers, and what their connections are told.
+
+use std::cell::Cell;
+
+use async_channel::Sender;
+use umberloom::interface::{Micros, RequestId};
+
+use crate::memory::budget::Charge;
+
+/// Times of arrival and budgets further off than this make no sense, and would spoil what the module knows of
+/// waits: an hour.
+pub const FAR: Micros = 3_600_000_000;
+
+/// A request for work, as its parameters state it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Name of this try.
+    pub id: String,
+    /// Name of its class.
+    pub class: String,
+    /// When it reached the machine, in Unix microseconds.
+    pub received: Micros,
+    /// How long its caller waits from then on.
+    pub budget: Micros,
+    /// Number of the balancer.
+    pub sender: u64,
+    /// Memory while held, in kilobytes.
+    pub held_kb: f64,
+    /// Its place from 0 to under 1 among all requests.
+    pub rank: f64,
+    /// What a read is about.
+    pub key: Option<String>,
+}
+
+impl Work {
+    /// Whether its times can be meant by anyone whose Unix clock reads `unix`.
+    pub fn is_timely(&self, unix: Micros) -> bool {
+        self.received.abs_diff(unix) <= FAR && self.budget <= FAR
+    }
+
+    /// How long its caller still waits at this Unix time.
+    pub fn waits(&self, unix: Micros) -> Micros {
+        self.received.saturating_add(self.budget).saturating_sub(unix)
+    }
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served, with this result.
+    Served(Vec<u8>),
+    /// Turned away: this try never ran.
+    Refused {
+        /// How long the caller should stay away; 0: no advice.
+        stay_away: Micros,
+        /// No other server is to be tried.
+        terminal: bool,
+    },
+    /// Failed, without a promise.
+    Failed,
+    /// A request that makes no sense.
+    Senseless,
+    /// A health check: good or bad.
+    Health(bool),
+    /// The caller has given it up: it ends without a word.
+    Aborted,
+}
+
+/// A request that has come whole and makes sense.
+#[derive(Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// What it asks for.
+    pub work: Work,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Where its answer goes.
+    pub reply_to: ReplyTo,
+    /// The memory that it takes.
+    pub charge: Charge,
+}
+
+/// A health check.
+#[derive(Debug)]
+pub struct Check {
+    /// Whether it wants to know that work gets done.
+    pub full: bool,
+    /// Where its answer goes.
+    pub reply_to: ReplyTo,
+}
+
+/// What a connection is told.
+#[derive(Debug)]
+pub enum Word {
+    /// The answer to a request.
+    Answer(u16, u64, Answer),
+    /// Close if nothing is open.
+    CloseIfIdle,
+    /// Close as soon as nothing is open.
+    Finish,
+}
+
+/// Where the answer to one request goes.
+#[derive(Clone, Debug)]
+pub struct ReplyTo {
+    to: Sender<Word>,
+    slot: u16,
+    /// Tells this request from all others of this process.
+    serial: u64,
+}
+
+impl ReplyTo {
+    /// The place of request `slot` on the connection with this mailbox.
+    pub fn new(to: Sender<Word>, slot: u16, serial: u64) -> ReplyTo {
+        ReplyTo { to, slot, serial }
+    }
+
+    /// What tells the request from all others of this process, whatever their names.
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// Gives the answer. There is room for one for each open request (`the_mailbox_has_room_for_every_answer`
+    /// in `front.rs`); a connection that is gone has nobody left to hear it.
+    pub fn answer(&self, answer: Answer) {
+        let _ = self.to.try_send(Word::Answer(self.slot, self.serial, answer));
+    }
+}
+
+/// What the front sees of a connection.
+#[derive(Debug, Default)]
+pub struct Activity {
+    /// When it last carried something.
+    pub last: Cell<Micros>,
+    /// Whole requests open on it.
+    pub open: Cell<usize>,
+    /// It has carried a whole request.
+    pub asked: Cell<bool>,
+}
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -22,14 +22,16 @@
 use umberloom::interface::Micros;
 use umberloom_operator::Operator;
 
+use crate::exchange::calls::Wanted;
+use crate::exchange::{agent as to_agent, calls as to_calls, front as to_front, list as to_list, Message};
 use crate::memory::budget::Budget;
-use crate::module::{self, Message, Module, Others};
+use crate::module::{self, Module, Others};
 use crate::peers::agent::{self, Agent};
 use crate::peers::balancer::Shared;
 use crate::peers::dependency::{self, Dependency, Sockets, Target};
 use crate::peers::front::{self, Front, Places};
 use crate::peers::list::{self, List};
-use crate::plans::{Plans, Wanted};
+use crate::plans::Plans;
 use clock::Clock;
 use config::Config;
 use phase::{Life, Phase};
@@ -136,12 +138,12 @@
     budget: Budget,
     sockets: Sockets,
     /// Dependencies of the operator's file, as they are reached now.
-    dependencies: BTreeMap<Rc<str>, (Target, Sender<dependency::Order>)>,
+    dependencies: BTreeMap<Rc<str>, (Target, Sender<to_calls::Order>)>,
     module: Sender<Message>,
-    agent: Sender<agent::Word>,
-    records: Sender<dependency::Order>,
-    list: Sender<list::Word>,
-    front: Sender<front::Order>,
+    agent: Sender<to_agent::Word>,
+    records: Sender<to_calls::Order>,
+    list: Sender<to_list::Word>,
+    front: Sender<to_front::Order>,
     up: Receiver<()>,
     connections: Task<()>,
     clock: Clock,
@@ -240,7 +242,7 @@
     }
 
     /// Starts an actor for a dependency.
-    fn reach(&self, target: Target) -> Sender<dependency::Order> {
+    fn reach(&self, target: Target) -> Sender<to_calls::Order> {
         let (orders, taken) = bounded(dependency::MAILBOX);
         let to = (target, self.sockets.clone());
         let (executor, module) = (self.executor.clone(), self.module.clone());
@@ -263,7 +265,7 @@
                 }
                 Next::Time => {
                     if life.pass(self.clock.now()) && life.phase() == Phase::Closing {
-                        let _ = self.front.send(front::Order::Finish).await;
+                        let _ = self.front.send(to_front::Order::Finish).await;
                     }
                 }
                 Next::Empty => life.enter(Phase::Ended),
@@ -289,17 +291,17 @@
     async fn change_over(&mut self, new: Config, operator: Option<Operator>) {
         info!(self.log, "new configuration"; "agent" => %new.agent, "announce" => %new.announce);
         if new.agent != self.config.agent {
-            let _ = self.agent.send(agent::Word::Address(new.agent)).await;
+            let _ = self.agent.send(to_agent::Word::Address(new.agent)).await;
         }
         if let Some(address) = new.records.filter(|_| new.records != self.config.records) {
-            let _ = self.records.send(dependency::Order::Address(address)).await;
+            let _ = self.records.send(to_calls::Order::Address(address)).await;
             for (target, orders) in self.dependencies.values_mut().filter(|(t, _)| t.platform.is_some()) {
                 target.platform = Some(address);
-                let _ = orders.send(dependency::Order::Address(address)).await;
+                let _ = orders.send(to_calls::Order::Address(address)).await;
             }
         }
         if new.announce != self.config.announce {
-            let _ = self.list.send(list::Word::Address(new.announce)).await;
+            let _ = self.list.send(to_list::Word::Address(new.announce)).await;
         }
         self.config = new;
         let Some(operator) = operator else { return };
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,6 +1,7 @@
 //! One real server: balancers in front, the render farm agent and the records service behind, and
 //! umberloom's decisions between them.
 
+mod exchange;
 mod lifecycle;
 mod memory;
 mod module;
--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -7,8 +7,7 @@
 
 use super::budget::Charge;
 use super::keys::Subject;
-use crate::peers::balancer::ReplyTo;
-use crate::wire::cgi::Work;
+use crate::exchange::caller::{ReplyTo, Work};
 
 /// How far a request's run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -12,18 +12,15 @@
 use umberloom::Server;
 use umberloom_settings::GaugeNames;
 
+use crate::exchange::agent::{self, Order};
+use crate::exchange::caller::{Answer, Check, ReplyTo, Request};
+use crate::exchange::calls::{self, CallId};
+use crate::exchange::{front, list, Message, RunEnd};
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::rare::Rare;
-use crate::memory::budget::Charge;
 use crate::memory::keys::Keys;
 use crate::memory::open::{Call, Open, Run, Table};
-use crate::peers::balancer::ReplyTo;
-use crate::peers::dependency::{self, CallId};
-use crate::peers::journal::Order;
-use crate::peers::{agent, front, list};
-use crate::plans::{Done, Plans, Wanted};
-use crate::wire::cgi::{Answer, Work};
-use crate::wire::jsonl::RunEnd;
+use crate::plans::{Done, Plans};
 
 /// Messages that may wait to be taken.
 pub const MAILBOX: usize = 256;
@@ -35,71 +32,12 @@
 const CHECK_WAIT: Micros = 5_000_000;
 const CHECKS: usize = 64;
 
-/// A request that has come whole and makes sense.
-#[derive(Debug)]
-pub struct Request {
-    /// Its name.
-    pub id: RequestId,
-    /// Place of its class in the settings.
-    pub class: usize,
-    /// What it asks for.
-    pub work: Work,
-    /// Its body.
-    pub body: Vec<u8>,
-    /// Where its answer goes.
-    pub reply_to: ReplyTo,
-    /// The memory that it takes.
-    pub charge: Charge,
-}
-
-/// A health check.
-#[derive(Debug)]
-pub struct Check {
-    /// Whether it wants to know that work gets done.
-    pub full: bool,
-    /// Where its answer goes.
-    pub reply_to: ReplyTo,
-}
-
-/// What the module's mailbox takes.
-#[derive(Debug)]
-pub enum Message {
-    /// A request has come.
-    Request(Box<Request>),
-    /// A health check has come.
-    Check(Check),
-    /// Nobody waits for the request of this name and serial any more.
-    Gone(RequestId, u64),
-    /// The agent is up, since so long.
-    Greeted(Micros),
-    /// The link to the agent is lost.
-    LinkLost,
-    /// A run is over.
-    Outcome(String, RunEnd, Micros),
-    /// A run waits for a call.
-    NeedsCall(String, u64, Vec<u8>),
-    /// Gauges, as asked for under this tag.
-    Sampled(u64, Vec<f64>),
-    /// End of the work of a deep health check.
-    Exercised(u64, bool),
-    /// The agent did not carry out this command about this request.
-    AgentRefused(String, String),
-    /// What the agent said about this request can't be true.
-    Senseless(String),
-    /// A call is over, with the body of a good reply.
-    Called(CallId, Outcome, Micros, Vec<u8>),
-    /// What the operator's file asks for from now on.
-    Operator(Box<Wanted>),
-    /// Notice to drain: the process is stopped after this span.
-    Leave(Micros),
-}
-
 /// The mailboxes of the others.
 pub struct Others {
     /// The agent's link.
     pub agent: Sender<agent::Word>,
     /// The records service.
-    pub records: Sender<dependency::Order>,
+    pub records: Sender<calls::Order>,
     /// The list.
     pub list: Sender<list::Word>,
     /// The front.
@@ -535,7 +473,7 @@
         if self.plans.as_mut().is_some_and(|plans| plans.give_up(now, id)) {
             return self.take_plans();
         }
-        let _ = self.others.records.try_send(dependency::Order::GiveUp(CallId::plain(id.clone())));
+        let _ = self.others.records.try_send(calls::Order::GiveUp(CallId::plain(id.clone())));
     }
 
     /// Forgets a request of which nothing is left. Who still waits for its result does so in vain.
@@ -664,7 +602,7 @@
             return self.take_plans();
         }
         let (id, body) = (CallId::plain(id.clone()), call.body.as_slice().into());
-        let order = dependency::Order::Call(dependency::Call { id: id.clone(), address: None, body, until });
+        let order = calls::Order::Call(calls::Call { id: id.clone(), address: None, body, until });
         if self.others.records.try_send(order).is_err() {
             call.under_way = false;
             self.later.push_back(Event::Called(id.request, Outcome::Unreachable, 0));
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -2,14 +2,14 @@
 //! that would go to it are looked at instead.
 
 use super::*;
+use crate::exchange::caller::{Word, Work};
 use crate::memory::budget::Budget;
-use crate::peers::balancer::Word;
 
 /// A module with the far ends of all its mailboxes.
 struct Bench {
     module: Module,
     agent: Receiver<agent::Word>,
-    records: Receiver<dependency::Order>,
+    records: Receiver<calls::Order>,
     list: Receiver<list::Word>,
     front: Receiver<front::Order>,
     words: Receiver<Word>,
@@ -209,11 +209,11 @@
 fn calls_are_made_delivered_given_up_and_left_out() {
     let mut bench = bench(Halt::Pause);
     bench.launched("a");
-    let word = |order: dependency::Order| match order {
-        dependency::Order::Call(call) => {
+    let word = |order: calls::Order| match order {
+        calls::Order::Call(call) => {
             format!("Call({:?}, {:?}, {})", call.id.request, call.body, call.until)
         }
-        dependency::Order::GiveUp(id) => format!("GiveUp({:?})", id.request),
+        calls::Order::GiveUp(id) => format!("GiveUp({:?})", id.request),
         other => format!("{other:?}"),
     };
     let calls = |bench: &Bench| all(&bench.records).into_iter().map(word).collect::<Vec<_>>();
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -9,9 +9,10 @@
 use futures_lite::future;
 use slog::{debug, info, warn, Logger};
 
-use super::journal::{Journal, Order};
+use super::journal::Journal;
 use super::stream::{self, Got};
-use crate::module::Message;
+use crate::exchange::agent::Word;
+use crate::exchange::Message;
 use crate::wire::buffer::Buffer;
 use crate::wire::jsonl::{self, Command, Notice};
 use crate::wire::Malformed;
@@ -28,15 +29,6 @@
 /// Time for one try to connect.
 const CONNECT: Duration = Duration::from_secs(1);
 
-/// What the actor is told.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Word {
-    /// Something the agent is to do.
-    Order(Order),
-    /// Where the agent is from now on.
-    Address(SocketAddr),
-}
-
 /// The actor.
 pub struct Agent {
     address: SocketAddr,
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -13,11 +13,12 @@
 use umberloom::interface::{Micros, RequestId};
 
 use super::stream::{self, Got};
+use crate::exchange::caller::{Activity, Answer, Check, ReplyTo, Request, Word, Work};
+use crate::exchange::Message;
 use crate::lifecycle::clock::Clock;
 use crate::memory::budget::{Budget, Charge};
-use crate::module::{Check, Message, Request};
 use crate::wire::buffer::Buffer;
-use crate::wire::cgi::{self, Answer, Ask, Work};
+use crate::wire::cgi::{self, Ask};
 use crate::wire::fastcgi::{self, Status};
 use crate::wire::responder::{Incoming, Responder, BODY, OPEN, PARAMS};
 
@@ -44,55 +45,6 @@
 /// What an open request takes besides its body: its fields, and its result when it comes.
 const PER_REQUEST: usize = 6 * 1024;
 
-/// What a connection is told.
-#[derive(Debug)]
-pub enum Word {
-    /// The answer to a request.
-    Answer(u16, u64, Answer),
-    /// Close if nothing is open.
-    CloseIfIdle,
-    /// Close as soon as nothing is open.
-    Finish,
-}
-
-/// Where the answer to one request goes.
-#[derive(Clone, Debug)]
-pub struct ReplyTo {
-    to: Sender<Word>,
-    slot: u16,
-    /// Tells this request from all others of this process.
-    serial: u64,
-}
-
-impl ReplyTo {
-    /// The place of request `slot` on the connection with this mailbox.
-    pub fn new(to: Sender<Word>, slot: u16, serial: u64) -> ReplyTo {
-        ReplyTo { to, slot, serial }
-    }
-
-    /// What tells the request from all others of this process, whatever their names.
-    pub fn serial(&self) -> u64 {
-        self.serial
-    }
-
-    /// Gives the answer. There is room for one for each open request (`the_mailbox_has_room_for_every_answer`
-    /// in `front.rs`); a connection that is gone has nobody left to hear it.
-    pub fn answer(&self, answer: Answer) {
-        let _ = self.to.try_send(Word::Answer(self.slot, self.serial, answer));
-    }
-}
-
-/// What the front sees of a connection.
-#[derive(Debug, Default)]
-pub struct Activity {
-    /// When it last carried something.
-    pub last: Cell<Micros>,
-    /// Whole requests open on it.
-    pub open: Cell<usize>,
-    /// It has carried a whole request.
-    pub asked: Cell<bool>,
-}
-
 /// What all connections share.
 #[derive(Clone)]
 pub struct Shared {
@@ -397,7 +349,7 @@
             self.pending.remove(&slot);
             match answer {
                 Answer::Aborted => self.responder.end_aborted(slot),
-                answer => self.responder.answer(slot, &answer.encode()),
+                answer => self.responder.answer(slot, &cgi::encode(answer)),
             }
         }
     }
--- a/crates/server/src/peers/dependency.rs
+++ b/crates/server/src/peers/dependency.rs
@@ -13,11 +13,12 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::{debug, Logger};
-use umberloom::interface::{Micros, Outcome, RequestId};
+use umberloom::interface::Outcome;
 
 use super::stream::{self, Got};
+use crate::exchange::calls::{Call, CallId, Order};
+use crate::exchange::Message;
 use crate::lifecycle::clock::Clock;
-use crate::module::Message;
 use crate::wire::buffer::Buffer;
 use crate::wire::http::{self, Reply};
 
@@ -30,47 +31,6 @@
 /// Idle connections that are kept, over all dependencies.
 const IDLE_MOST: usize = 16;
 
-/// Names a call: by the request it is for, and by its number. Calls of runs without a plan have the number 0, so
-/// that a second one for a request takes the place of the first.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId {
-    /// The request.
-    pub request: RequestId,
-    /// The number.
-    pub attempt: u64,
-}
-
-impl CallId {
-    /// The call of a run without a plan.
-    pub fn plain(request: RequestId) -> CallId {
-        CallId { request, attempt: 0 }
-    }
-}
-
-/// A call to be made.
-#[derive(Debug)]
-pub struct Call {
-    /// Its name.
-    pub id: CallId,
-    /// The endpoint; none is the platform's address.
-    pub address: Option<SocketAddr>,
-    /// Its body.
-    pub body: Rc<[u8]>,
-    /// When it is to be given up.
-    pub until: Micros,
-}
-
-/// What the module wants.
-#[derive(Debug)]
-pub enum Order {
-    /// Make a call.
-    Call(Call),
-    /// Nobody waits for this call any more.
-    GiveUp(CallId),
-    /// Where the platform's service is from now on. Calls under way may end on their connections.
-    Address(SocketAddr),
-}
-
 /// The descriptors that all dependencies share.
 #[derive(Clone, Debug)]
 pub struct Sockets {
@@ -351,6 +311,7 @@
 mod tests {
     use super::*;
     use futures_lite::AsyncReadExt;
+    use umberloom::interface::Micros;
 
     /// Plays `script` with the actor's mailboxes against a service at this listener.
     fn with_dependency<F: std::future::Future<Output = ()>>(
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -14,7 +14,9 @@
 use slog::{debug, warn, Logger};
 use umberloom::interface::Micros;
 
-use super::balancer::{Activity, Connection, Shared, Word};
+use super::balancer::{Connection, Shared};
+use crate::exchange::caller::{Activity, Word};
+use crate::exchange::front::Order;
 use crate::lifecycle::rare::Rare;
 
 /// Words that may wait to be taken.
@@ -37,15 +39,6 @@
 /// Time after which accepting is tried again when the system had no descriptor for it.
 const RETRY: Duration = Duration::from_millis(20);
 
-/// What the front is told.
-#[derive(Debug)]
-pub enum Order {
-    /// Close connections that have carried nothing for this long.
-    CloseIdle(Micros),
-    /// Let nothing new in, and close each connection once nothing is open on it.
-    Finish,
-}
-
 /// How many connections there may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Places {
--- a/crates/server/src/peers/front/tests.rs
+++ b/crates/server/src/peers/front/tests.rs
@@ -6,11 +6,11 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
+use crate::exchange::caller::{Answer, ReplyTo};
+use crate::exchange::Message;
 use crate::memory::budget::Budget;
-use crate::module::Message;
-use crate::peers::balancer::{self, ReplyTo};
+use crate::peers::balancer;
 use crate::peers::stream;
-use crate::wire::cgi::Answer;
 use crate::wire::fastcgi;
 use crate::wire::responder::OPEN;
 
--- a/crates/server/src/peers/journal.rs
+++ b/crates/server/src/peers/journal.rs
@@ -5,27 +5,9 @@
 
 use umberloom::interface::RequestId;
 
+use crate::exchange::agent::Order;
 use crate::wire::jsonl::{base64, Command};
 
-/// Something the agent is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Run a request of this class with this body.
-    Launch(RequestId, String, Vec<u8>),
-    /// Stop its run.
-    Freeze(RequestId),
-    /// Go on with its run.
-    Thaw(RequestId),
-    /// The reply to the call that its run waits for.
-    Deliver(RequestId, Vec<u8>),
-    /// Go on without the call that this notice asked for.
-    Forgo(RequestId, u64),
-    /// Ask for the gauges.
-    Sample(u64),
-    /// Do the work of a deep health check.
-    Exercise(u64),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     /// Begins or stops a run.
--- a/crates/server/src/peers/list.rs
+++ b/crates/server/src/peers/list.rs
@@ -9,6 +9,7 @@
 use slog::{debug, info, Logger};
 
 use super::{dependency, stream};
+use crate::exchange::list::Word;
 use crate::wire::http;
 
 /// Words that may wait to be taken.
@@ -21,15 +22,6 @@
 /// Reports in a row without an answer after which the service counts as not reached.
 const LOST: u32 = 4;
 
-/// What the actor is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// Whether this server takes work.
-    Accepting(bool),
-    /// Where the service is from now on.
-    Address(SocketAddr),
-}
-
 /// The actor.
 pub struct List {
     address: SocketAddr,
--- a/crates/server/src/plans.rs
+++ b/crates/server/src/plans.rs
@@ -7,32 +7,15 @@
 use async_channel::Sender;
 use slog::{info, warn, Logger};
 use umberloom::interface::{Micros, Outcome, RequestId};
-use umberloom_dependencies::config::Config;
 use umberloom_dependencies::{breaker, route, Action, Ask, AttemptId, Engine, PlanId, ServiceView};
 
+use crate::exchange::calls::{Call, CallId, Order, Wanted};
 use crate::memory::budget::Charge;
 use crate::memory::open::Open;
-use crate::peers::dependency::{Call, CallId, Order};
 
 /// Time between looks at what has been left out and what has come back, for the log.
 const WATCH_EVERY: Micros = 1_000_000;
 
-/// What the operator's file asks for, made ready.
-pub struct Wanted {
-    /// Dependencies and plans, without mistakes.
-    pub config: Config,
-    /// The mailbox of each dependency, by its name.
-    pub mailboxes: BTreeMap<Rc<str>, Sender<Order>>,
-    /// The memory of kept results.
-    pub charge: Charge,
-}
-
-impl std::fmt::Debug for Wanted {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.debug_struct("Wanted").field("config", &self.config).finish_non_exhaustive()
-    }
-}
-
 /// A plan that is over.
 pub struct Done {
     /// The request it was for.
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -1,17 +1,13 @@
 //! CGI: the parameters of a request, and the answer to it.
 
 use super::fastcgi;
-use umberloom::interface::Micros;
+use crate::exchange::caller::{Answer, Work};
 
 /// Prefix of the path of requests for work; the class follows.
 const WORK: &str = "/svc/";
 /// Path of health checks.
 const HEALTH: &str = "/status/live";
 
-/// Times of arrival and budgets further off than this make no sense, and would spoil what the module knows of
-/// waits: an hour.
-const FAR: Micros = 3_600_000_000;
-
 /// What a balancer asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
@@ -21,39 +17,6 @@
     Health(bool),
 }
 
-/// A request for work, as its parameters state it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Work {
-    /// Name of this try.
-    pub id: String,
-    /// Name of its class.
-    pub class: String,
-    /// When it reached the machine, in Unix microseconds.
-    pub received: Micros,
-    /// How long its caller waits from then on.
-    pub budget: Micros,
-    /// Number of the balancer.
-    pub sender: u64,
-    /// Memory while held, in kilobytes.
-    pub held_kb: f64,
-    /// Its place from 0 to under 1 among all requests.
-    pub rank: f64,
-    /// What a read is about.
-    pub key: Option<String>,
-}
-
-impl Work {
-    /// Whether its times can be meant by anyone whose Unix clock reads `unix`.
-    pub fn is_timely(&self, unix: Micros) -> bool {
-        self.received.abs_diff(unix) <= FAR && self.budget <= FAR
-    }
-
-    /// How long its caller still waits at this Unix time.
-    pub fn waits(&self, unix: Micros) -> Micros {
-        self.received.saturating_add(self.budget).saturating_sub(unix)
-    }
-}
-
 /// Reads the parameters of a request; on failure, what was wrong.
 pub fn ask(params: &[u8]) -> Result<Ask, &'static str> {
     let pairs = fastcgi::pairs(params).map_err(|e| e.0)?;
@@ -85,62 +48,39 @@
     }))
 }
 
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Served, with this result.
-    Served(Vec<u8>),
-    /// Turned away: this try never ran.
-    Refused {
-        /// How long the balancer should stay away; 0: no advice.
-        stay_away: Micros,
-        /// No other server is to be tried.
-        terminal: bool,
-    },
-    /// Failed, without a promise.
-    Failed,
-    /// A request that makes no sense.
-    Senseless,
-    /// A health check: good or bad.
-    Health(bool),
-    /// The balancer has given it up: it ends without a word.
-    Aborted,
-}
-
-impl Answer {
-    /// The answer as CGI: headers, an empty line, the body.
-    pub fn encode(&self) -> Vec<u8> {
-        let (status, more, body): (&str, String, &[u8]) = match self {
-            Answer::Served(result) => ("200 OK", String::new(), result),
-            Answer::Refused { stay_away, terminal } => {
-                let mut more = String::new();
-                if *stay_away > 0 {
-                    more.push_str(&format!("Back-Off-Ms: {}\r\n", stay_away.div_ceil(1_000)));
-                }
-                if *terminal {
-                    more.push_str("Final-Refusal: 1\r\n");
-                }
-                ("503 Service Unavailable", more, b"")
+/// The answer as CGI: headers, an empty line, the body.
+pub fn encode(answer: &Answer) -> Vec<u8> {
+    let (status, more, body): (&str, String, &[u8]) = match answer {
+        Answer::Served(result) => ("200 OK", String::new(), result),
+        Answer::Refused { stay_away, terminal } => {
+            let mut more = String::new();
+            if *stay_away > 0 {
+                more.push_str(&format!("Back-Off-Ms: {}\r\n", stay_away.div_ceil(1_000)));
             }
-            Answer::Failed | Answer::Aborted => ("500 Internal Server Error", String::new(), b""),
-            Answer::Senseless => ("400 Bad Request", String::new(), b""),
-            Answer::Health(true) => ("200 OK", String::new(), b""),
-            Answer::Health(false) => ("500 Internal Server Error", String::new(), b""),
-        };
-        let mut bytes = format!(
-            "Status: {status}\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\n{more}\r\n",
-            body.len()
-        )
-        .into_bytes();
-        bytes.extend_from_slice(body);
-        bytes
-    }
+            if *terminal {
+                more.push_str("Final-Refusal: 1\r\n");
+            }
+            ("503 Service Unavailable", more, b"")
+        }
+        Answer::Failed | Answer::Aborted => ("500 Internal Server Error", String::new(), b""),
+        Answer::Senseless => ("400 Bad Request", String::new(), b""),
+        Answer::Health(true) => ("200 OK", String::new(), b""),
+        Answer::Health(false) => ("500 Internal Server Error", String::new(), b""),
+    };
+    let mut bytes = format!(
+        "Status: {status}\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\n{more}\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
 }
 
 #[cfg(test)]
 mod tests {
     use super::super::noise;
     use super::*;
+    use crate::exchange::caller::FAR;
 
     fn params(change: impl Fn(&str) -> Option<&'static str>) -> Vec<u8> {
         let all = [
@@ -232,7 +172,7 @@
 
     #[test]
     fn answers_have_their_status_and_fields() {
-        let text = |answer: Answer| String::from_utf8(answer.encode()).expect("text");
+        let text = |answer: Answer| String::from_utf8(encode(&answer)).expect("text");
         let refused = text(Answer::Refused { stay_away: 250_001, terminal: true });
         assert!(refused.starts_with("Status: 503 "), "{refused}");
         assert!(refused.contains("Back-Off-Ms: 251\r\n") && refused.contains("Final-Refusal: 1\r\n"));
@@ -241,7 +181,7 @@
         assert!(text(Answer::Failed).starts_with("Status: 500 "));
         assert!(text(Answer::Senseless).starts_with("Status: 400 "));
         let body = vec![0u8, 255, 13, 10, 13, 10, 7];
-        let served = Answer::Served(body.clone()).encode();
+        let served = encode(&Answer::Served(body.clone()));
         assert!(served.starts_with(b"Status: 200 ") && served.ends_with(&[&b"\r\n\r\n"[..], &body].concat()));
     }
 }
--- a/crates/server/src/wire/jsonl.rs
+++ b/crates/server/src/wire/jsonl.rs
@@ -6,6 +6,7 @@
 use umberloom::interface::Micros;
 
 use super::Malformed;
+use crate::exchange::RunEnd;
 
 /// The longest line that is read.
 pub const LONGEST: usize = 64 * 1024;
@@ -79,19 +80,6 @@
     STANDARD.encode(bytes)
 }
 
-/// How a run ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunEnd {
-    /// Well, with this result.
-    Fine(Vec<u8>),
-    /// It failed.
-    Fault,
-    /// It was stopped, or ended at a call as its request is over.
-    BrokenOff,
-    /// Nothing was started, as the request is over.
-    Late,
-}
-
 /// What the agent says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
