The front asks crates/intake which connections find a place and which leave

Need: places are decisions, and stood in the server; with a second listener they have to be shared by weight. No change of behaviour with one listener.

--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -10,7 +10,7 @@
 /// Part of its guaranteed places that nobody may borrow from a listener, one in so many: a surge starts there.
 const UNLENT: usize = 16;
 /// A connection that carried something within this time may be about to carry more.
-const SETTLED: Micros = 100_000;
+pub const SETTLED: Micros = 100_000;
 /// A connection that was told to close is gone within this time, if it closes at all.
 const LEAVES: Micros = 300_000;
 
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -20,6 +20,7 @@
 use futures_lite::future;
 use slog::{error, info, Logger};
 use umberloom::interface::Micros;
+use umberloom_intake::places::Places;
 use umberloom_operator::Operator;
 
 use crate::exchange::calls::Wanted;
@@ -29,7 +30,7 @@
 use crate::peers::agent::{self, Agent};
 use crate::peers::balancer::Shared;
 use crate::peers::dependency::{self, Dependency, Sockets, Target};
-use crate::peers::front::{self, Front, Places};
+use crate::peers::front::{self, Front};
 use crate::peers::list::{self, List};
 use crate::plans::Plans;
 use clock::Clock;
@@ -192,7 +193,7 @@
             clock: clock.clone(),
             log: log.clone(),
         };
-        let from = (listener, Places::of(parts.connections));
+        let from = (listener, Places::new(parts.connections, &[1]));
         let idle = config.settings.idle_max;
         let connections =
             executor.spawn(Front::new(executor.clone(), from, shared, front_orders, idle).run());
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -13,6 +13,7 @@
 use futures_lite::future;
 use slog::{debug, warn, Logger};
 use umberloom::interface::Micros;
+use umberloom_intake::places::{Lot, Places, Seen};
 
 use super::balancer::{Connection, Shared};
 use crate::exchange::caller::{Activity, Word};
@@ -23,39 +24,11 @@
 pub const MAILBOX: usize = 64;
 /// Time between looks for idle connections.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Part of all places that is kept free for new connections: one in so many.
-const SPARE: usize = 5;
-/// A connection that carried something within this time may be about to carry more: a request that crosses a
-/// close by less than 50 ms is sent again, a later one is not.
-const SETTLED: Micros = 100_000;
-/// Places at the door, one for so many of all: connections beyond the table, on which every request is turned
-/// away. Without them what waits to be accepted would carry requests that nobody reads until their time is up.
-const DOOR: usize = 16;
 /// A connection at the door has this long to ask.
 const AT_DOOR: Micros = 250_000;
-/// A connection that was told to close is gone within this time, if it closes at all: until then new ones may
-/// wait for its place rather than be turned away.
-const LEAVES: Micros = 300_000;
 /// Time after which accepting is tried again when the system had no descriptor for it.
 const RETRY: Duration = Duration::from_millis(20);
 
-/// How many connections there may be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Places {
-    /// In the table: these are served.
-    pub table: usize,
-    /// Beyond it, at the door: these are turned away.
-    pub door: usize,
-}
-
-impl Places {
-    /// Parts the descriptors that connections may take.
-    pub fn of(connections: usize) -> Places {
-        let door = connections.div_ceil(DOOR).min(connections / 2);
-        Places { table: connections - door, door }
-    }
-}
-
 struct Entry {
     words: Sender<Word>,
     activity: Rc<Activity>,
@@ -73,13 +46,16 @@
         }
     }
 
-    fn is_leaving(&self, now: Micros) -> bool {
-        let told = self.told.get().filter(|told| *told >= self.activity.last.get());
-        told.is_some_and(|told| now < told + LEAVES)
-    }
-
-    fn is_idle(&self) -> bool {
-        !self.at_door && self.activity.open.get() == 0
+    fn seen(&self, id: u64) -> Seen {
+        Seen {
+            id,
+            listener: 0,
+            open: self.activity.open.get(),
+            asked: self.activity.asked.get(),
+            last: self.activity.last.get(),
+            told: self.told.get(),
+            at_door: self.at_door,
+        }
     }
 }
 
@@ -90,14 +66,6 @@
     Look,
 }
 
-/// What becomes of a connection that has just come.
-#[derive(Debug, PartialEq, Eq)]
-enum Lot {
-    Served,
-    TurnedAway,
-    Closed,
-}
-
 /// The actor.
 pub struct Front<'a> {
     executor: Rc<LocalExecutor<'a>>,
@@ -125,7 +93,7 @@
         orders: Receiver<Order>,
         idle: Micros,
     ) -> Front<'a> {
-        let over = async_channel::bounded((places.table + places.door).max(1));
+        let over = async_channel::bounded(places.all().max(1));
         let log = shared.log.clone();
         Front {
             executor,
@@ -185,11 +153,12 @@
         future::or(over, future::or(order, future::or(accepted, look))).await
     }
 
-    /// Whether the table is full and a place in it is about to be free. Who waits for that is read within
-    /// [`LEAVES`]; where nothing leaves, nobody is let wait.
+    fn seen(&self) -> Vec<Seen> {
+        self.all.iter().map(|(id, entry)| entry.seen(*id)).collect()
+    }
+
     fn place_is_coming(&self) -> bool {
-        let now = self.shared.clock.now();
-        self.all.len() >= self.places.table && self.all.values().any(|e| !e.at_door && e.is_leaving(now))
+        self.all.len() >= self.places.table() && self.places.is_coming(self.shared.clock.now(), &self.seen())
     }
 
     async fn accept(&self, listener: &Async<TcpListener>) -> Next {
@@ -231,66 +200,43 @@
             let _ = over.send(number).await;
         };
         self.executor.spawn(served).detach();
-        if self.all.len() >= self.places.table {
-            self.make_room();
+        if self.all.len() >= self.places.table() {
+            self.close_idle();
         }
     }
 
-    /// Where a new connection finds its place. One that has never asked gives up its own for it: balancers
-    /// connect when they have something to send, so what says nothing is likely to go on so.
+    /// Where a new connection finds its place.
     fn lot(&mut self) -> Lot {
-        let Places { table, door } = self.places;
-        if self.all.len() < table {
+        if self.all.len() < self.places.table() {
             return Lot::Served;
         }
         let now = self.shared.clock.now();
-        let at_door = self.all.values().filter(|e| e.at_door).count();
-        let leaving = self.all.values().filter(|e| !e.at_door && e.is_leaving(now)).count();
-        let room = self.all.len() < table + door;
-        let silent = |e: &&Entry| e.is_idle() && !e.activity.asked.get() && !e.is_leaving(now);
-        let lot = match self.all.values().find(silent) {
-            _ if !room => Lot::Closed,
-            _ if self.all.len() - at_door - leaving < table => Lot::Served,
-            Some(silent) => {
-                silent.close_if_idle(now);
-                Lot::Served
-            }
-            None => Lot::TurnedAway,
-        };
+        let (lot, closed) = self.places.lot(now, 0, &self.seen());
+        if let Some(entry) = closed.and_then(|id| self.all.get(&id)) {
+            entry.close_if_idle(now);
+        }
         if lot != Lot::Served {
-            self.tell_full(at_door, leaving);
+            self.tell_full();
         }
         lot
     }
 
-    fn tell_full(&mut self, at_door: usize, leaving: usize) {
+    fn tell_full(&mut self) {
         if let Some(more) = self.full.tell(Instant::now()) {
             let busy = self.all.values().filter(|entry| entry.activity.open.get() > 0).count();
-            warn!(self.log, "no place for a connection"; "not_told" => more, "leaving" => leaving,
-                "at_door" => at_door, "busy" => busy, "places" => self.places.table);
+            let at_door = self.all.values().filter(|entry| entry.at_door).count();
+            warn!(self.log, "no place for a connection"; "not_told" => more, "at_door" => at_door,
+                "busy" => busy, "places" => self.places.table());
         }
     }
 
-    /// Places run out: those that never asked leave theirs first, then those idle longest, so that a new peer
-    /// finds one without waiting for another to go. Peers that connect and say nothing, or ask once and stay,
-    /// would otherwise keep the usual ones out. One that has only just carried something stays: its next
-    /// request may be on its way.
-    fn make_room(&self) {
-        let now = self.shared.clock.now();
-        let table = self.places.table;
-        let taken = self.all.values().filter(|e| !e.at_door).count();
-        let excess = taken.saturating_sub(table - table.div_ceil(SPARE));
-        let settled = |e: &&Entry| e.is_idle() && now >= e.activity.last.get() + SETTLED;
-        let mut idle: Vec<&Entry> = self.all.values().filter(settled).collect();
-        idle.sort_by_key(|e| (e.activity.asked.get(), e.activity.last.get()));
-        idle.iter().take(excess).for_each(|entry| entry.close_if_idle(now));
-    }
-
     fn close_idle(&self) {
         let now = self.shared.clock.now();
-        let idle = |e: &&Entry| e.is_idle() && now - e.activity.last.get() >= self.idle;
-        self.all.values().filter(idle).for_each(|entry| entry.close_if_idle(now));
-        self.make_room();
+        for id in self.places.to_close(now, &[self.idle], &self.seen()) {
+            if let Some(entry) = self.all.get(&id) {
+                entry.close_if_idle(now);
+            }
+        }
     }
 
     /// Connections that wait to be accepted may carry requests: they are taken before the socket closes.
--- a/crates/server/src/peers/front/tests.rs
+++ b/crates/server/src/peers/front/tests.rs
@@ -71,7 +71,7 @@
     let shared = Shared {
         module,
         classes: Rc::new(vec![]),
-        connections: places.table,
+        connections: places.table(),
         serial: Rc::default(),
         budget: Budget::new(1 << 24),
         clock: Default::default(),
@@ -118,7 +118,7 @@
 
 #[test]
 fn idle_connections_are_found_while_others_come_and_go() {
-    let places = Places { table: 64, door: 4 };
+    let places = Places::new(68, &[1]);
     with_front(places, 150_000, |bench| async move {
         let mut idle = bench.idle().await;
         let closed = async {
@@ -139,7 +139,7 @@
 
 #[test]
 fn a_full_table_turns_requests_away_at_once_and_delays_none() {
-    with_front(Places { table: 2, door: 1 }, 60_000_000, |bench| async move {
+    with_front(Places::new(3, &[1]), 60_000_000, |bench| async move {
         let mut served = [bench.busy().await, bench.busy().await];
         let mut more = bench.connect().await;
         ask(&mut more).await;
@@ -162,7 +162,7 @@
 
 #[test]
 fn who_never_asked_gives_its_place_to_who_does() {
-    with_front(Places { table: 2, door: 1 }, 60_000_000, |bench| async move {
+    with_front(Places::new(3, &[1]), 60_000_000, |bench| async move {
         let _busy = bench.busy().await;
         let mut silent = bench.connect().await;
         let mut next = bench.connect().await;
@@ -175,9 +175,9 @@
 
 #[test]
 fn a_place_that_is_coming_is_waited_for() {
-    with_front(Places { table: 2, door: 1 }, 60_000_000, |bench| async move {
+    with_front(Places::new(3, &[1]), 60_000_000, |bench| async move {
         let mut first = bench.idle().await;
-        Timer::after(Duration::from_micros(2 * SETTLED)).await;
+        Timer::after(Duration::from_micros(2 * umberloom_intake::places::SETTLED)).await;
         let _second = bench.idle().await;
         // The table is full; the first is told to go, and this one comes into its place.
         let mut third = bench.connect().await;
