Call times fade only where no call is made for them; a wait over in a standstill is no habit

Change: it fades only when, since the last reading, none was answered and one was not made for it; waits are left out of the habits only where they reach back into a standstill.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,8 +134,9 @@
     best: f64,
     /// Calls in hand at once: fewer while they take much longer than at best.
     bound: f64,
-    /// One was answered since the last reading.
+    /// One was answered since the last reading; one was not made as there was no time for the typical one.
     heard: bool,
+    spurned: bool,
     failures: u32,
     probe_at: Micros,
     /// Ends of calls given up that the dependency may still hold.
@@ -374,11 +375,12 @@
     /// How old a try is at least, by its stated wait. Behind the first tier waits tell nothing: each is
     /// what its caller's own request has left.
     fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
-        // One whose wait is over says nothing of how long that was.
-        let Some(waits) = a.waits.filter(|&w| w > 0 && self.set.tier == 0) else { return 0 };
+        let Some(waits) = a.waits.filter(|_| self.set.tier == 0) else { return 0 };
         // Nobody waits for longer than a client does; who says so must not become a habit.
         let share = ((now + waits - reached) as f64 / class.deadline as f64).min(1.0);
-        note_wait(&mut self.waits, share, !a.retry);
+        if reached >= self.stood {
+            note_wait(&mut self.waits, share, !a.retry);
+        }
         (passed(&self.waits, share) * class.deadline as f64) as Micros
     }
 
@@ -504,7 +506,9 @@
             self.health.unread *= FADE;
         }
         // Calls that take too long are not made, and those that are not made would never be quick again.
-        if let Some(typical) = self.calls.typical.filter(|_| !std::mem::take(&mut self.calls.heard)) {
+        let heard = std::mem::take(&mut self.calls.heard);
+        let stuck = std::mem::take(&mut self.calls.spurned) && !heard;
+        if let Some(typical) = self.calls.typical.filter(|_| stuck) {
             let faded = self.calls.best + FADE * (typical - self.calls.best);
             self.calls.typical = Some(faded).filter(|t| *t > self.calls.best * (1.0 + SAME_WAIT));
         }
@@ -827,6 +831,7 @@
         let Some(r) = self.all.get_mut(&seq) else { return };
         let class = &self.set.classes[r.class];
         let until = if r.late { r.due } else { r.need };
+        self.calls.spurned |= now + typical + rest >= until;
         let can_skip = class.skip_worth > 0.0;
         let barred = r.call_spent && class.effect != Effect::Safe;
         let hopeless = barred || r.call_tries >= CALL_TRIES || now + typical >= until;
