Dependencies over AJP: pooled connections, asked by CPing after a pause, the same outcomes

Change: transport "ajp" in the operator's file; peers/ajp.rs makes a call with the codec of crates/ajp over the same pools; a connection idle for a second is asked first. crates/standins answers and asks over AJP with an encoder of its own. Measured: a test on sockets with answers of 20 KB, failures, marks, silence, cuts, noise, a reply too long, and a peer deaf to pings.

--- a/crates/operator/src/dependencies.rs
+++ b/crates/operator/src/dependencies.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::node::{list, show, Reader};
-use crate::{Operator, Service, PLATFORM};
+use crate::{Ajp, Operator, Service, PLATFORM};
 
 /// Path of the platform's records service.
 const RECORDS: &str = "/records/op";
@@ -89,6 +89,7 @@
         "platform",
         "endpoints",
         "path",
+        "transport",
         "safe-to-repeat",
         "retry",
         "hedge",
@@ -156,7 +157,8 @@
     if let Some(node) = reader.one(within, "fallback") {
         found.fallbacks = fallbacks(reader, node);
     }
-    let service = Service { name, path, endpoints: addresses };
+    let ajp = reader.one(within, "transport").and_then(|node| transport(reader, node));
+    let service = Service { name, path, endpoints: addresses, ajp };
     (found, service)
 }
 
@@ -189,9 +191,10 @@
             );
         }
     }
+    let other = endpoints.or(path).or(reader.one(within, "transport"));
     match platform {
-        Some(platform) if endpoints.is_some() || path.is_some() => {
-            let what = "found \"platform\" with endpoints or a path, expected one or the other";
+        Some(platform) if other.is_some() => {
+            let what = "found \"platform\" with endpoints, a path or a transport, expected one or the other";
             reader.fault(platform.span().offset(), what);
         }
         Some(platform) => reader.leaf(platform),
@@ -204,6 +207,27 @@
     (addresses, found.unwrap_or_else(|| if platform.is_some() { RECORDS } else { "/" }.to_owned()))
 }
 
+/// `http`, which is the same as none, or `ajp`.
+fn transport(reader: &mut Reader, node: &KdlNode) -> Option<Ajp> {
+    let name = reader.text(node, "a transport")?;
+    reader.leaf(node);
+    let mut from = reader.properties(node);
+    if name == "http" {
+        from.done();
+        return None;
+    }
+    let packet = from.whole("packet", 8_192, (8_192, 65_535)) as usize;
+    let secret = from.text("secret");
+    from.done();
+    if name != "ajp" {
+        reader.fault(
+            node.span().offset(),
+            format!("found the transport {name:?}, expected \"http\" or \"ajp\""),
+        );
+    }
+    Some(Ajp { secret, packet })
+}
+
 fn retry(reader: &mut Reader, node: &KdlNode) -> Retry {
     let unless_set = Retry::default();
     reader.leaf(node);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -56,6 +56,17 @@
     pub path: String,
     /// Its endpoints; none where it is the platform's records service.
     pub endpoints: Vec<SocketAddr>,
+    /// How it is spoken to over AJP; none is HTTP.
+    pub ajp: Option<Ajp>,
+}
+
+/// AJP to a dependency.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ajp {
+    /// The secret that it asks for.
+    pub secret: Option<String>,
+    /// The size of a packet, in bytes.
+    pub packet: usize,
 }
 
 impl Service {
--- a/crates/operator/src/node.rs
+++ b/crates/operator/src/node.rs
@@ -147,6 +147,19 @@
         self.whole(name, unless_set / 1_000, (0, 60_000)) * 1_000
     }
 
+    /// A text, if it is there.
+    pub fn text(&mut self, name: &'static str) -> Option<String> {
+        let entry = self.entry(name)?;
+        match entry.value() {
+            KdlValue::String(text) => Some(text.clone()),
+            other => {
+                let what = format!("found {name}={}, expected a text", show(other));
+                self.reader.fault(entry.span().offset(), what);
+                None
+            }
+        }
+    }
+
     /// A number that must be there.
     pub fn required(&mut self, name: &'static str) -> f64 {
         if self.node.entries().iter().all(|e| e.name().is_none_or(|n| n.value() != name)) {
--- a/crates/operator/src/tests.rs
+++ b/crates/operator/src/tests.rs
@@ -74,6 +74,13 @@
             "dependency \"a\" { endpoints \"[::1]:1\"; survives servers=2; }\n",
             "without calls, expected calls=NUMBER",
         ),
+        ("dependency \"a\" { endpoints \"[::1]:1\"; transport \"spdy\"; }\n", "found the transport \"spdy\""),
+        ("dependency \"a\" { endpoints \"[::1]:1\"; transport \"ajp\" packet=10; }\n", "found packet=10"),
+        (
+            "dependency \"a\" { endpoints \"[::1]:1\"; transport \"http\" secret=\"x\"; }\n",
+            "found secret, expected none",
+        ),
+        ("dependency \"a\" { platform; transport \"ajp\"; }\n", "f:1:18: found \"platform\" with"),
         ("dependency \"a\" { endpoints \"[::1]:1\"; hedge; }\n", "must be declared safe to repeat"),
         (
             "dependency \"a\" { endpoints \"[::1]:1\"; fallback { none; }; }\n",
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -28,6 +28,7 @@
 use crate::memory::budget::Budget;
 use crate::module::{self, Module, Others};
 use crate::peers::agent::{self, Agent};
+use crate::peers::ajp::Ajp;
 use crate::peers::balancer::Shared;
 use crate::peers::dependency::{self, Dependency, Sockets, Target};
 use crate::peers::front::{self, Front};
@@ -231,7 +232,8 @@
         let mut before = std::mem::take(&mut self.dependencies);
         for service in operator.services {
             let platform = self.config.records.filter(|_| service.is_platform());
-            let target = Target { path: service.path.as_str().into(), platform };
+            let ajp = service.ajp.map(|ajp| Rc::new(Ajp { secret: ajp.secret, packet: ajp.packet }));
+            let target = Target { path: service.path.as_str().into(), platform, ajp };
             let name: Rc<str> = service.name.as_str().into();
             let kept = before.remove(&name).filter(|(old, _)| *old == target);
             let orders = kept.map_or_else(|| self.reach(target.clone()), |(_, orders)| orders);
--- a/crates/server/src/peers/dependency.rs
+++ b/crates/server/src/peers/dependency.rs
@@ -15,6 +15,7 @@
 use slog::{debug, Logger};
 use umberloom::interface::Outcome;
 
+use super::ajp::{self, Ajp};
 use super::stream::{self, Got};
 use crate::exchange::calls::{Call, CallId, Order};
 use crate::exchange::Message;
@@ -74,13 +75,13 @@
         Rc::new(RefCell::new(Idle { all: BTreeMap::new(), count }))
     }
 
-    /// An idle connection that is still good.
-    fn take(&mut self, address: SocketAddr) -> Option<Async<TcpStream>> {
+    /// An idle connection that is still good, and for how long it was idle.
+    fn take(&mut self, address: SocketAddr) -> Option<(Async<TcpStream>, Duration)> {
         let there = self.all.get_mut(&address)?;
         while let Some((since, stream)) = there.pop_back() {
             self.count.set(self.count.get() - 1);
             if since.elapsed() < IDLE && stream::is_silent(&stream) {
-                return Some(stream);
+                return Some((stream, since.elapsed()));
             }
         }
         None
@@ -120,12 +121,14 @@
     pub path: Rc<str>,
     /// The platform's address, where this is its records service.
     pub platform: Option<SocketAddr>,
+    /// How it is spoken to, where that is not HTTP.
+    pub ajp: Option<Rc<Ajp>>,
 }
 
 impl Target {
     /// The platform's records service.
     pub fn records(address: SocketAddr) -> Target {
-        Target { path: "/records/op".into(), platform: Some(address) }
+        Target { path: "/records/op".into(), platform: Some(address), ajp: None }
     }
 }
 
@@ -218,12 +221,12 @@
         call: Call,
         taken: Taken,
     ) -> impl std::future::Future<Output = ()> + 'a {
-        let (path, pool) = (self.target.path.clone(), self.pool.clone());
+        let (target, pool) = (self.target.clone(), self.pool.clone());
         let (module, clock) = (self.module.clone(), self.clock.clone());
         async move {
             let from = clock.now();
             let span = Duration::from_micros(call.until.saturating_sub(from));
-            let (outcome, reply) = one((address, &path), &pool, &call, span).await;
+            let (outcome, reply) = one(address, &target, &pool, &call, span).await;
             drop(taken);
             let took = clock.now() - from;
             let _ = module.send(Message::Called(call.id, outcome, took, reply)).await;
@@ -233,13 +236,25 @@
 
 /// Makes one call and tells how it ended, with the body of a good reply.
 async fn one(
-    (address, path): (SocketAddr, &str),
+    address: SocketAddr,
+    target: &Target,
     pool: &Pool,
     call: &Call,
     span: Duration,
 ) -> (Outcome, Vec<u8>) {
     let before = Instant::now();
-    let idle = pool.borrow_mut().take(address);
+    let idle = loop {
+        let taken = pool.borrow_mut().take(address);
+        match (taken, &target.ajp) {
+            // Nothing of the call has been written: what does not answer is closed, and the next one tried.
+            (Some((stream, idle)), Some(ajp)) if idle >= ajp::CHECK_AFTER => {
+                if ajp::is_alive(&stream, ajp).await {
+                    break Some(stream);
+                }
+            }
+            (taken, _) => break taken.map(|(stream, _)| stream),
+        }
+    };
     let stream = match idle {
         Some(stream) => stream,
         None => match stream::within(span, Async::<TcpStream>::connect(address)).await {
@@ -252,8 +267,16 @@
     let left = span.saturating_sub(before.elapsed());
     let wait = left.as_millis().max(1).to_string();
     let headers = [("Op-Of", &*call.id.request), ("Op-Wait-Ms", &wait)];
-    let request = http::request("POST", path, &address.to_string(), &headers, &call.body);
-    match stream::within(left, exchange(&stream, &request)).await {
+    let made = async {
+        match &target.ajp {
+            Some(ajp) => ajp::exchange(&stream, ajp, &target.path, &headers, &call.body).await,
+            None => {
+                let request = http::request("POST", &target.path, &address.to_string(), &headers, &call.body);
+                exchange(&stream, &request).await
+            }
+        }
+    };
+    match stream::within(left, made).await {
         // Given up: dropping the stream closes the connection.
         None => (Outcome::TimedOut, Vec::new()),
         Some(Err(_)) => (Outcome::Cut, Vec::new()),
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Those outside: one actor with a mailbox for each.
 
 pub mod agent;
+pub mod ajp;
 pub mod balancer;
 pub mod dependency;
 pub mod front;
--- a/crates/server/tests/dependencies.rs
+++ b/crates/server/tests/dependencies.rs
@@ -235,3 +235,34 @@
     call.given_up();
     assert!(world.is_alive());
 }
+
+#[test]
+fn a_dependency_over_ajp_has_the_same_outcomes() {
+    use umberloom_standins::{AjpBehaviour, AjpServer};
+    let server = AjpServer::start(AjpBehaviour::Answer(200, vec![b'n'; 20_000]));
+    let more = "transport \"ajp\" secret=\"s\"\n retry most=0 share=0\n no-breaker";
+    let file = operator(&[], more).replace("endpoints ", &format!("endpoints \"{}\"", server.address));
+    let mut world = World::up_with(|_| (), &file);
+    let whole = format!("records: booked, extra: {}", "n".repeat(20_000));
+    assert_eq!(one(&mut world, "first"), whole);
+    assert_eq!(server.calls(), [b"what"]);
+    let cases = [
+        (AjpBehaviour::Answer(200, b"notes".to_vec()), "notes"),
+        (AjpBehaviour::Answer(500, vec![]), "Failed"),
+        (AjpBehaviour::NotBegun(503), "Refused"),
+        (AjpBehaviour::Hang, "OutOfTime"),
+        (AjpBehaviour::Cut, "Cut"),
+        (AjpBehaviour::Noise, "Cut"),
+        (AjpBehaviour::Answer(200, vec![b'x'; 70_000]), "Cut"),
+        (AjpBehaviour::Answer(200, b"again".to_vec()), "again"),
+    ];
+    for (number, (behaviour, wanted)) in cases.into_iter().enumerate() {
+        server.behave(behaviour.clone());
+        let found = one(&mut world, &format!("r{number}"));
+        assert_eq!(found, format!("records: booked, extra: {wanted}"), "{behaviour:?}");
+    }
+    // Idle for long, it is asked first; what does not answer is left for a new connection, and nothing is lost.
+    server.behave(AjpBehaviour::DeafToPings);
+    std::thread::sleep(Duration::from_millis(1_300));
+    assert_eq!(one(&mut world, "after a pause"), "records: booked, extra: well");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Agent`] is a render farm agent that does what a test tells it, [`farm::Farm`] one that works by itself;
 //! - [`Records`] and [`Announce`] are the records and the announce service, call by call;
 //! - [`Dependency`] is a service that can be slow, hang, refuse, lie and come back;
+//! - [`AjpServer`] answers calls over AJP, and [`ajp::FrontEnd`] asks;
 //! - [`World`] puts a real server process in their middle.
 //!
 //! Nothing here depends on the machine's speed: every wait is for something that must come, and is bounded only so
@@ -14,6 +15,7 @@
 #![allow(missing_docs)]
 
 pub mod agent;
+pub mod ajp;
 pub mod balancer;
 pub mod dependency;
 pub mod farm;
@@ -21,6 +23,7 @@
 pub mod world;
 
 pub use agent::Agent;
+pub use ajp::{AjpBehaviour, AjpServer};
 pub use balancer::{Balancer, Request};
 pub use dependency::Dependency;
 pub use http::{Announce, Records};
