--- a/src/choice.rs
+++ b/src/choice.rs
@@ -505,7 +505,7 @@
             self.health.sick &= self.health.errors > SICK.1;
             self.health.unread *= FADE;
         }
-        // Calls that take too long are not made, and those that are not made would never be quick again.
+        // Calls that take too long are not made, and those that are not made are never quick again.
         let heard = std::mem::take(&mut self.calls.heard);
         let stuck = std::mem::take(&mut self.calls.spurned) && !heard;
         if let Some(typical) = self.calls.typical.filter(|_| stuck) {
@@ -810,8 +810,8 @@
         if outcome == Outcome::TimedOut {
             self.calls.lingering.push(now + self.set.call_linger);
         }
-        // What turns calls away is crowded, not down, and of several services one that failed is not all: each is
-        // tried again by itself, the others go on.
+        // What turns calls away is crowded, not down, and of several services one that failed is not all:
+        // each is tried again by itself, the others go on.
         self.calls.failures += u32::from(!matches!(outcome, Outcome::Refused | Outcome::Stopped));
         self.calls.probe_at = now + PROBE_EVERY;
     }
