The operator's file: arguments, properties and ages that make no sense are refused

Need: read again, `retry 5`, a property of `path` or `constant` and a max-age-ms out of range were passed over, where every mistake is to be told with its line. Change: what a node does not take is a mistake at its place.

--- a/crates/operator/src/dependencies.rs
+++ b/crates/operator/src/dependencies.rs
@@ -83,7 +83,7 @@
 
 fn dependency(reader: &mut Reader, node: &KdlNode) -> (Dependency, Service) {
     let name = reader.text(node, "a name").unwrap_or_default();
-    reader.properties(node).done();
+    reader.properties(node).with_arguments().done();
     let within = node.children();
     let names = [
         "platform",
@@ -182,6 +182,9 @@
         }
     }
     let found = path.and_then(|n| reader.text(n, "a path"));
+    if let Some(node) = path {
+        reader.properties(node).with_arguments().done();
+    }
     if let (Some(node), Some(path)) = (path, &found) {
         let plain = path.bytes().all(|b| b.is_ascii_graphic());
         if !path.starts_with('/') || !plain || path.len() > 1_024 {
@@ -211,7 +214,7 @@
 fn transport(reader: &mut Reader, node: &KdlNode) -> Option<Ajp> {
     let name = reader.text(node, "a transport")?;
     reader.leaf(node);
-    let mut from = reader.properties(node);
+    let mut from = reader.properties(node).with_arguments();
     if name == "http" {
         from.done();
         return None;
@@ -289,12 +292,14 @@
         match node.name().value() {
             "kept" => {
                 let mut from = reader.properties(node);
-                let oldest = from.required("max-age-ms").max(0.0) as u64;
+                from.required("max-age-ms");
+                let oldest = from.whole("max-age-ms", 0, (0, 86_400_000));
                 from.done();
-                found.push(Fallback::Kept(oldest.min(86_400_000) * 1_000));
+                found.push(Fallback::Kept(oldest * 1_000));
             }
             "constant" => {
                 let text = reader.text(node, "a text").unwrap_or_default();
+                reader.properties(node).with_arguments().done();
                 found.push(Fallback::Constant(text.into_bytes()));
             }
             "left-out" => {
@@ -309,7 +314,7 @@
 
 fn plan(reader: &mut Reader, node: &KdlNode, classes: Option<&[String]>) -> (Plan, StagePlaces) {
     let class = reader.text(node, "a class").unwrap_or_default();
-    reader.properties(node).done();
+    reader.properties(node).with_arguments().done();
     if let Some(known) = classes.filter(|known| !known.contains(&class)) {
         let known: Vec<&str> = known.iter().map(String::as_str).collect();
         let what = format!("found a plan for {class:?}, expected a class of the settings: {}", list(&known));
@@ -342,7 +347,7 @@
                 continue;
             }
             reader.leaf(node);
-            reader.properties(node).done();
+            reader.properties(node).with_arguments().done();
             for dependency in reader.texts(node, ENDPOINTS) {
                 calls.push(Call { dependency, needed });
                 places.push(node.span().offset());
--- a/crates/operator/src/node.rs
+++ b/crates/operator/src/node.rs
@@ -90,7 +90,7 @@
 
     /// Starts taking the properties of a node.
     pub fn properties<'r, 'd>(&'r mut self, node: &'d KdlNode) -> Properties<'r, 'a, 'd> {
-        Properties { reader: self, node, known: Vec::new() }
+        Properties { reader: self, node, known: Vec::new(), arguments: false }
     }
 }
 
@@ -99,9 +99,17 @@
     reader: &'r mut Reader<'a>,
     node: &'d KdlNode,
     known: Vec<&'static str>,
+    /// It has arguments, which others take.
+    arguments: bool,
 }
 
 impl<'d> Properties<'_, '_, 'd> {
+    /// The node has arguments besides, which were taken already.
+    pub fn with_arguments(mut self) -> Self {
+        self.arguments = true;
+        self
+    }
+
     fn entry(&mut self, name: &'static str) -> Option<&'d KdlEntry> {
         self.known.push(name);
         let named = |e: &&KdlEntry| e.name().is_some_and(|n| n.value() == name);
@@ -172,7 +180,13 @@
     /// Notes all properties that were not asked for.
     pub fn done(self) {
         for entry in self.node.entries() {
-            let Some(name) = entry.name().map(|n| n.value()) else { continue };
+            let Some(name) = entry.name().map(|n| n.value()) else {
+                if !self.arguments {
+                    let what = format!("found {}, expected NAME=VALUE", show(entry.value()));
+                    self.reader.fault(entry.span().offset(), what);
+                }
+                continue;
+            };
             if !self.known.contains(&name) {
                 let expected = if self.known.is_empty() { "none".to_owned() } else { list(&self.known) };
                 self.reader.fault(entry.span().offset(), format!("found {name}, expected {expected}"));
--- a/crates/operator/src/tests.rs
+++ b/crates/operator/src/tests.rs
@@ -49,6 +49,12 @@
         ("dependencies \"a\"\n", "f:1:1: found \"dependencies\", expected one of"),
         ("kept entries=-1\n", "f:1:6: found entries=-1, expected a whole number from 0 to 1048576"),
         ("kept entries=1.5\n", "f:1:6: found entries=1.5"),
+        ("dependency \"a\" { endpoints \"[::1]:1\"; retry 5; }\n", "found 5, expected NAME=VALUE"),
+        ("dependency \"a\" { endpoints \"[::1]:1\"; path \"/x\" y=1; }\n", "found y, expected none"),
+        (
+            "dependency \"a\" { endpoints \"[::1]:1\"; fallback { kept max-age-ms=-5; }; }\n",
+            "found max-age-ms=-5",
+        ),
         ("kept size=1\n", "f:1:6: found size, expected one of \"entries\" or \"kb\""),
         ("dependency {\n endpoints \"127.0.0.1:1\"\n}\n", "f:1:1: found \"dependency\" without a name"),
         ("dependency \"a\"\n", "f:1:1: found a dependency without endpoints"),
