Given-up running work is answered at once; every refusal names a time to come back

Seen: answer_due kept a running request past its aim until its due time ('goes_on' for Stage::Running and Stage::Joined), with the comment that a failed client would ask again as late.

Change (src/choice.rs): past its aim, a safe run is refused (deny, terminal, with advice) and stopped where the site allows; a keyed run or a joined repeat is failed at once, never refused, so its repeat joins the run; only an unsafe run goes on to its end or due time, since failing it invites a second, unmarked write. stay_away is never under PROBE_EVERY where advice is passed on.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -587,13 +587,15 @@
         }
     }
 
-    /// Ends what is due, or is worth nothing any more: an answer at once lets the client go on. What runs
-    /// then goes on until it is due: failed, its client would ask for all of it again, and as late.
+    /// Ends what is due, or is worth nothing any more: what is given up is answered at once, never held
+    /// to keep its client from asking again. Only an unsafe run goes on to its end: its answer tells
+    /// whether the effect took place, and a failure would invite a second one.
     fn answer_due(&mut self, now: Micros, out: &mut Vec<Action>) {
         let (sweep, classes) = (self.sweep(), &self.set.classes);
         let end = self.all.iter_mut().filter(|(_, r)| !r.over).filter_map(|(&seq, r)| {
             r.late |= classes[r.class].late_worth > 0.0 && now >= r.need;
-            let goes_on = r.late || matches!(r.stage, Stage::Running | Stage::Joined);
+            let unsafe_run = r.stage == Stage::Running && classes[r.class].effect == Effect::Unsafe;
+            let goes_on = r.late || unsafe_run;
             (now + sweep > r.due || (now >= r.need && !goes_on)).then_some(seq)
         });
         for seq in end.collect::<Vec<_>>() {
@@ -609,7 +611,9 @@
         let Some(r) = self.all.get(&seq) else { return };
         let (over, expected) = (self.over_quota(now, r), self.expected(r));
         let id = r.id.clone();
-        if r.stage == Stage::Held {
+        // A safe run may be turned away: the refusal names a time to come back; its work goes on.
+        let safe_run = r.stage == Stage::Running && self.set.classes[r.class].effect == Effect::Safe;
+        if r.stage == Stage::Held || safe_run {
             // Elsewhere it would wait to be read as here, then run: no use to walk on without the time.
             let terminal = jam || now as f64 + unread + expected * START_AT > r.need as f64;
             // Advice would keep the caller's other tenants away as well, and beyond the quota no other
@@ -646,13 +650,15 @@
         }
     }
 
-    /// Advice: about as long as the hold, or what stands unread before it, takes to empty.
+    /// Advice: about as long as the hold, or what stands unread before it, takes to empty; never none
+    /// where advice is passed on, so that every refusal names a time to come back.
     fn stay_away(&self) -> Micros {
         if self.health.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
         let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
-        ((work / self.limit.slots as f64).max(self.health.unread) as Micros).min(self.set.advice_max)
+        let span = (work / self.limit.slots as f64).max(self.health.unread) as Micros;
+        span.max(PROBE_EVERY).min(self.set.advice_max)
     }
 
     /// Refuses early what, in the order of the search, can't be done in time: the answer comes while
