Readiness no longer follows the wait to be read: swamped servers stay in the list

Change: the 'swamped' flag and its lines in tell_health go (src/choice.rs -4 lines); sick and leaving still make a server not ready.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -158,7 +158,6 @@
     refused: f64,
     errors: f64,
     sick: bool,
-    swamped: bool,
     /// Checks are told so; and whether anything arrived since the last reading.
     unwell: bool,
     heard: bool,
@@ -732,13 +731,10 @@
         }
     }
 
-    /// Says whether callers should come: not while sick, nor while what is read has waited so long that no
-    /// answer, not even a refusal, comes in time; only a list that leaves it out lets a server catch up.
+    /// Says whether callers should come: not while sick or leaving. A long wait to be read is no reason: in
+    /// a large fleet whose list follows readiness, servers that leave it at once swamp the rest.
     fn tell_health(&mut self, out: &mut Vec<Action>) {
-        let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        self.health.swamped =
-            self.health.unread > tightest * if self.health.swamped { PATIENCE } else { 1.0 };
-        let unwell = self.health.sick || self.health.swamped || self.leave.is_some();
+        let unwell = self.health.sick || self.leave.is_some();
         if self.health.unwell != unwell {
             self.health.unwell = unwell;
             out.push(Action::Ready(!unwell));
