What can start at once is never refused for waiting too long

The rule compares the wait with (left - run) x patience; where the expected run is about the time left, that goes under 0 and any wait, even none, is too long.

Lines at fault: src/choice.rs shed(), 'let long = ...'. Change: the rule needs place >= free, i.e. a real wait. Test: two arrivals on two free cores after runs of 2.1 s with an aim of 2 s are both admitted (fails before the change: y refused with advice).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -685,7 +685,11 @@
             let takes = if place < free { run * START_AT } else { wait + run };
             let left = until as f64 - now as f64;
             let patience = 2.0 * PATIENCE * self.level(now, r) as f64 / self.worths.len() as f64;
-            let long = !r.known && self.health.strangers <= STRANGE && wait > (left - run) * patience;
+            // What can start now waits for nothing, however long it runs.
+            let long = !r.known
+                && place >= free
+                && self.health.strangers <= STRANGE
+                && wait > (left - run) * patience;
             if (takes > left || long) && (place > 0 || running > 0) {
                 self.give_up(now, seq, out);
             } else if place >= free {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -780,3 +780,20 @@
     let out = send(&mut server, now, &[("first", 0), ("second", 0)]);
     assert!(refused(&out).is_empty(), "{out:?}");
 }
+
+/// Guards against refusing for too long a wait what can start at once: runs expected to take about their
+/// aim left it no spare time, and the rule took that for a wait (pack-sale on a quiet day of mapas-central).
+#[test]
+fn what_can_start_at_once_is_never_refused_for_waiting_too_long() {
+    let mut server = server(settings());
+    let mut now = 0;
+    for n in 0..8 {
+        let a = format!("a{n}");
+        send(&mut server, now, &[(&a, 0)]);
+        now += 2_100 * MS;
+        step(&mut server, now, vec![ended(&a, 2_100 * MS), idle()]);
+    }
+    let out = send(&mut server, now, &[("x", 0), ("y", 0)]);
+    assert!(refused(&out).is_empty(), "two cores are free: {out:?}");
+    assert_eq!(admitted(&out), ["x", "y"]);
+}
