--- a/crates/server/src/exchange/caller.rs
+++ b/crates/server/src/exchange/caller.rs
@@ -30,6 +30,8 @@
     pub rank: f64,
     /// What a read is about.
     pub key: Option<String>,
+    /// The caller's `Idempotency-Key`: tries of one keyed request carry the same.
+    pub idempotency_key: Option<String>,
 }
 
 impl Work {
--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use serde_json::Value;
-use umberloom::interface::{Below, Effect, Settings, Signal};
+use umberloom::interface::{Below, Settings, Signal};
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
 use umberloom_settings::{class_names, settings, GaugeNames};
 
@@ -77,10 +77,8 @@
     fn check(&self) -> Read<()> {
         self.settings.check().map_err(|e| e.to_string())?;
         let set = &self.settings;
-        let keyed = set.classes.iter().any(|c| c.effect == Effect::Keyed);
         let named = |name: &String| !name.is_empty() && !name.contains('/');
         let rules = [
-            (!keyed, "a class has repeats with a key, which FastCGI requests do not carry here"),
             (set.tenants.is_empty(), "there are tenants, whom FastCGI requests do not name here"),
             (set.signal == Signal::Silent, "callers want a free value, for which answers have no field here"),
             (set.below != Below::NextTier, "there is a next tier, to which no address is configured"),
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -8,7 +8,9 @@
 use futures_lite::future;
 use slog::{debug, error, warn, Logger};
 use std::time::{Duration, Instant};
-use umberloom::interface::{Action, Arrival, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings};
+use umberloom::interface::{
+    Action, Arrival, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings,
+};
 use umberloom::Server;
 use umberloom_settings::GaugeNames;
 
@@ -253,11 +255,17 @@
     }
 
     fn arrived(&mut self, now: Micros, request: Request) {
-        let Request { id, class, work, body, reply_to, charge } = request;
+        let Request { id, class, mut work, body, reply_to, charge } = request;
         if self.server.is_none() {
             // Nothing can run before the agent is up.
             return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
         }
+        // Tries of a keyed request are linked by the caller's Idempotency-Key alone; one without it could
+        // run twice, so it is refused as malformed before anything is done.
+        if self.settings.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed) {
+            let Some(key) = work.idempotency_key.take() else { return reply_to.answer(Answer::Senseless) };
+            work.key = Some(key);
+        }
         let unix = self.clock.unix();
         let waits = work.waits(unix);
         let subject = work.key.clone().map(|key| (class, key));
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -26,6 +26,10 @@
 }
 
 fn bench(halt: Halt) -> Bench {
+    bench_with(settings(halt))
+}
+
+fn bench_with(set: Settings) -> Bench {
     let (agent, agent_end) = async_channel::bounded(64);
     let (records, records_end) = async_channel::bounded(64);
     let (list, list_end) = async_channel::bounded(4);
@@ -33,7 +37,7 @@
     let (me, words) = async_channel::bounded(64);
     let others = Others { agent, records, list, front, up: async_channel::bounded(1).0 };
     let log = Logger::root(slog::Discard, slog::o!());
-    let told = (settings(halt), GaugeNames::default());
+    let told = (set, GaugeNames::default());
     let mut module = Module::new(told, None, async_channel::bounded(1).1, others, Clock::default(), log);
     module.greet(NOW, 0);
     module.events.clear();
@@ -50,6 +54,10 @@
 
 impl Bench {
     fn request(&mut self, id: &str, key: Option<&str>) {
+        self.request_with(id, key, None);
+    }
+
+    fn request_with(&mut self, id: &str, key: Option<&str>, idempotency_key: Option<&str>) {
         self.serial += 1;
         let work = Work {
             id: id.to_owned(),
@@ -60,6 +68,7 @@
             held_kb: 20.0,
             rank: 0.5,
             key: key.map(String::from),
+            idempotency_key: idempotency_key.map(String::from),
         };
         let reply_to = ReplyTo::new(self.me.clone(), 1, self.serial);
         let charge = Budget::new(1).take(0).expect("nothing");
@@ -400,3 +409,25 @@
     bench.module.greet(NOW + 400_000, 0);
     assert!(bench.events().contains(&"Leave(600000)".to_owned()));
 }
+
+/// Guards against a keyed write that runs twice: its tries are linked by the caller's Idempotency-Key, and
+/// one that comes without it is refused as malformed before the module hears of it.
+#[test]
+fn tries_of_a_keyed_class_are_linked_by_their_idempotency_key() {
+    let mut set = settings(Halt::Never);
+    (set.classes[0].effect, set.classes[0].window) = (Effect::Keyed, 12_309_000);
+    let mut bench = bench_with(set);
+    bench.request_with("bare", Some("resource"), None);
+    assert_eq!(bench.answers(), [(1, Answer::Senseless)]);
+    assert!(bench.module.events.is_empty(), "the module never hears of it");
+    bench.request_with("a", None, Some("tally-1"));
+    bench.act(Action::Keep("a".into(), 12_309_000));
+    bench.act(Action::Admit("a".into()));
+    // The same key under another resource key is the same request; another key is not.
+    bench.request_with("b", Some("resource"), Some("tally-1"));
+    let Some(Event::Arrived(arrival)) = bench.module.events.last() else { panic!("an arrival") };
+    assert_eq!(arrival.repeats.as_deref(), Some("a"));
+    bench.request_with("c", None, Some("tally-2"));
+    let Some(Event::Arrived(arrival)) = bench.module.events.last() else { panic!("an arrival") };
+    assert_eq!(arrival.repeats, None);
+}
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -45,6 +45,9 @@
         held_kb: number("HTTP_FOOTPRINT_KB").filter(|&n| n > 0.0 && n < 2_000.0).ok_or("no footprint")?,
         rank: number("HTTP_PRIORITY_RANK").filter(|n| (0.0..1.0).contains(n)).ok_or("no rank")?,
         key: get("HTTP_RESOURCE_KEY").filter(|k| !k.is_empty()).map(String::from),
+        idempotency_key: get("HTTP_IDEMPOTENCY_KEY")
+            .filter(|k| (1..=255).contains(&k.len()))
+            .map(String::from),
     }))
 }
 
@@ -101,6 +104,16 @@
         bytes
     }
 
+    /// The usual parameters, and more that `extra` names.
+    fn params_with(extra: impl Fn(&str) -> Option<&'static str>) -> Vec<u8> {
+        let mut bytes = params(|_| None);
+        let name = "HTTP_IDEMPOTENCY_KEY";
+        if let Some(value) = extra(name) {
+            fastcgi::write_pair(&mut bytes, name.as_bytes(), value.as_bytes());
+        }
+        bytes
+    }
+
     #[test]
     fn every_field_is_read() {
         let Ok(Ask::Work(work)) = ask(&params(|_| None)) else { panic!("work") };
@@ -108,6 +121,10 @@
         assert_eq!((work.received, work.budget, work.sender), (1_764_576_000_123_000, 480_000, 4));
         assert_eq!((work.held_kb, work.rank), (24.5, 0.625));
         assert_eq!(work.key.as_deref(), Some("7f3a9c21e0b4d655"));
+        assert_eq!(work.idempotency_key, None, "absent unless sent");
+        let keyed = |name: &str| (name == "HTTP_IDEMPOTENCY_KEY").then_some("tally-77-3");
+        let Ok(Ask::Work(work)) = ask(&params_with(keyed)) else { panic!("work") };
+        assert_eq!(work.idempotency_key.as_deref(), Some("tally-77-3"));
     }
 
     #[test]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,14 +21,27 @@
             ("idempotency_key", Effect::Keyed),
             ("non_idempotent", Effect::Unsafe),
         ];
+        let effect = one_of(o, "effect", "read_like", &effects)?;
+        let window = whole_or(o, "repeat_window_us", 0)?;
+        // The shape of a deployment follows from its classes; one that mixes the two is refused by name.
+        if flag(o, "write")? && effect == Effect::Safe {
+            return Err(format!(
+                "field `classes[{at}].write`: a write needs `effect` idempotency_key or non_idempotent"
+            ));
+        }
+        if effect == Effect::Keyed && window == 0 {
+            return Err(format!(
+                "field `classes[{at}].repeat_window_us`: a keyed class needs a window above 0"
+            ));
+        }
         classes.push(Class {
             aim: whole(o, "aim_us")?,
             aim_stretch: number_or(o, "aim_stretch", 0.0)?,
             deadline: whole(o, "hard_limit_us")?,
             worth: number(o, "credit")?,
             late_worth: number_or(o, "late_worth", 0.0)?,
-            effect: one_of(o, "effect", "read_like", &effects)?,
-            window: whole_or(o, "repeat_window_us", 0)?,
+            effect,
+            window,
             calls: calls.get(at).and_then(Value::as_bool).unwrap_or(false),
             skip_worth: skips.get(at).and_then(Value::as_f64).unwrap_or(0.0),
         });
