--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,6 @@
 /// Shares of further tries and of new connections above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
 const STRANGE: f64 = 0.5;
-/// Share turned away of what is read above which new connections come in vain.
-const VAIN: f64 = 0.85;
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 /// Part of what the dependency survives with which it isn't crowded: fewer in hand make no call quicker.
@@ -722,11 +720,10 @@
     }
 
     /// An open connection takes a part of the cores and a place that another caller may need: beyond half
-    /// the survivable crowd those idle longest are closed. Where nearly all that comes is turned away, new
-    /// ones come in vain, each at the cost of a connection and a reading: a full table keeps them out.
+    /// the survivable crowd those idle longest are closed; under half of that they stay longer again.
     fn close_idle(&mut self, open: f64, out: &mut Vec<Action>) {
         let useful = f64::from(self.set.cores) * self.set.crowd / 2.0;
-        let keep = self.health.refused > VAIN || open < useful / 2.0;
+        let keep = open < useful / 2.0;
         let sooner = if open > useful { self.idle / 2 } else { self.idle };
         let span = (if keep { self.idle * 2 } else { sooner }).max(READ_EVERY).min(self.set.idle_max);
         if span != self.idle {
