Kept keys of a keyed class are never dropped while they live

Since keyed classes are allowed, a live entry pushed out lets a repeat of a tally-capture look new and run a second time: the rule 'no effect twice'.

--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 
 use serde_json::Value;
-use umberloom::interface::{Below, Settings, Signal};
+use umberloom::interface::{Below, Effect, Settings, Signal};
+
+use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
 use umberloom_settings::{class_names, settings, GaugeNames};
 
@@ -78,7 +80,16 @@
         self.settings.check().map_err(|e| e.to_string())?;
         let set = &self.settings;
         let named = |name: &String| !name.is_empty() && !name.contains('/');
+        // The decisions count kept keys in memory and so keep fewer than the table holds, unless keys weigh
+        // too little: then a live key of a keyed class could be pushed out, and its repeat run again.
+        let keyed = set.classes.iter().any(|c| c.effect == Effect::Keyed);
+        let keys_fit = set.key_kb > 0.0 && set.key_kb * ENTRIES as f64 >= set.memory_kb;
         let rules = [
+            (
+                !keyed || keys_fit,
+                "field `family_info.key_kb`: with a keyed class, keys must weigh enough that the memory holds \
+                 fewer than the table of kept keys",
+            ),
             (set.tenants.is_empty(), "there are tenants, whom FastCGI requests do not name here"),
             (set.signal == Signal::Silent, "callers want a free value, for which answers have no field here"),
             (set.below != Below::NextTier, "there is a next tier, to which no address is configured"),
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -541,7 +541,7 @@
             Action::Fail(id) => self.finish(&id, Answer::Failed),
             Action::Call(id, until) => self.call(now, &id, until),
             Action::SkipCall(id) => self.skip_call(&id),
-            Action::Keep(id, span) => self.keep(&id, now + span),
+            Action::Keep(id, span) => self.keep(now, &id, now + span),
             Action::Forget(id) => self.forget(&id),
             Action::Join(id) => self.join(&id),
             Action::Ready(word) => {
@@ -626,9 +626,9 @@
         self.order(Order::Forgo(id.clone(), call.seq));
     }
 
-    fn keep(&mut self, id: &RequestId, until: Micros) {
+    fn keep(&mut self, now: Micros, id: &RequestId, until: Micros) {
         let Some(subject) = self.open.get(id).and_then(|open| open.subject()) else { return };
-        self.keys.keep(subject, id.clone(), until);
+        self.keys.keep(now, subject, id.clone(), until);
     }
 
     fn forget(&mut self, id: &RequestId) {
--- a/crates/server/tests/command_line.rs
+++ b/crates/server/tests/command_line.rs
@@ -71,6 +71,20 @@
     }
 }
 
+/// Guards against a keyed write that runs twice because its key was pushed out of a full table: keys that
+/// weigh nothing in memory are not bounded by it.
+#[test]
+fn a_keyed_class_needs_keys_that_weigh_in_memory() {
+    let keyed = json!({"name": "book", "aim_us": 1, "hard_limit_us": 2, "credit": 1.0,
+                       "effect": "idempotency_key", "repeat_window_us": 12_309_000});
+    let mut config = config();
+    *config.pointer_mut("/settings/classes/1").expect("a class") = keyed;
+    let sound = run(&["check"], Some(&config.to_string()));
+    assert!(sound.status.success(), "a keyed class with keys of weight is sound: {sound:?}");
+    *config.pointer_mut("/settings/family_info/key_kb").expect("a field") = json!(1.0);
+    assert!(complaint("check", &config.to_string()).contains("`family_info.key_kb`"));
+}
+
 #[test]
 fn a_broken_or_missing_configuration_serves_nothing() {
     assert!(complaint("serve", "{").contains("not JSON"));
