A complaint about a field of the configuration names its line

Change: crates/settings/src/locate.rs finds the line of the first field whose path ends with the one a complaint names (classes[1].write, family_info.key_kb), with a small scanner of the JSON text; Config::load writes 'configuration FILE:LINE: reason' where it finds one, as before where not (complaints without a field, such as 'a server needs at least one core'; syntax errors carry serde_json's line and column already).

--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -8,7 +8,7 @@
 
 use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
-use umberloom_settings::{class_names, settings, GaugeNames};
+use umberloom_settings::{class_names, locate, settings, GaugeNames};
 
 /// What the process may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,7 +51,14 @@
     pub fn load(path: &Path) -> Result<Config, String> {
         let place = |why: String| format!("configuration {}: {why}", path.display());
         let bytes = std::fs::read(path).map_err(|e| place(e.to_string()))?;
-        Config::parse(&bytes).map_err(place)
+        Config::parse(&bytes).map_err(|why| {
+            // A complaint that names a field names the line where it stands too.
+            let text = String::from_utf8_lossy(&bytes);
+            match locate::named(&why).and_then(|field| locate::line_of(&text, field)) {
+                Some(line) => format!("configuration {}:{line}: {why}", path.display()),
+                None => place(why),
+            }
+        })
     }
 
     /// Reads and checks a configuration.
--- a/crates/server/tests/command_line.rs
+++ b/crates/server/tests/command_line.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// A complaint about a field names the file and the line where the field stands, and the reason.
+#[test]
+fn a_wrong_field_is_named_with_its_line() {
+    let mut config = config();
+    *config.pointer_mut("/settings/classes/0").expect("a class") =
+        json!({"name": "search", "aim_us": 1, "hard_limit_us": 2, "credit": 1.0, "write": true});
+    let text = serde_json::to_string_pretty(&config).expect("text");
+    let line = 1 + text.lines().position(|l| l.contains("\"write\"")).expect("the field");
+    let said = complaint("check", &text);
+    assert!(said.contains(&format!(":{line}: field `classes[0].write`: a write needs")), "{said}");
+}
+
 /// Guards against a keyed write that runs twice because its key was pushed out of a full table: keys that
 /// weigh nothing in memory are not bounded by it.
 #[test]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //! the real server alike.
 
 pub mod fields;
+pub mod locate;
 mod names;
 
 use serde_json::Value;
