Tests for two defences of the move that had none: the advice floor, joined repeats

Reading the change again: the floor of advice (stay_away never under PROBE_EVERY where advice is passed on) and the end of the hold for joined repeats past their aim (Stage::Joined left 'goes_on' in answer_due) had no test that fails without them.

every_refusal_names_a_time_to_come_back: runs of 50 ms, an arrival with 10 ms left is refused with advice of 100 ms to 1 s.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -784,3 +784,29 @@
     assert!(refused(&out).is_empty(), "two cores are free: {out:?}");
     assert_eq!(admitted(&out), ["x", "y"]);
 }
+
+/// Guards against a refusal that names no time to come back: with little held, the advice by what is held
+/// would be a few milliseconds or none, and callers that heed it come straight back.
+#[test]
+fn every_refusal_names_a_time_to_come_back() {
+    let (mut server, now) = warm(settings(), 50 * MS);
+    let out = step(&mut server, now, vec![Event::Arrived(arrival("late", 0, 10 * MS))]);
+    let (stay_away, _) = refusal(&out, "late").expect("no time for it: {out:?}");
+    assert!(stay_away >= 100 * MS && stay_away <= SEC, "advice {stay_away}");
+}
+
+/// Guards against holding a repeat that waits for another's answer until its deadline: past its aim it is
+/// worth nothing, and it is failed at once, never refused.
+#[test]
+fn a_joined_repeat_past_its_aim_is_failed_at_once() {
+    let mut server = server(with_effect(Effect::Keyed));
+    send(&mut server, 0, &[("a", 0)]);
+    let again = Arrival { repeats: Some(id("a")), ..arrival("b", 0, 6 * SEC) };
+    let out = step(&mut server, 10 * MS, vec![Event::Arrived(again)]);
+    assert!(out.contains(&Action::Join(id("b"))), "{out:?}");
+    let before_aim = step(&mut server, 2 * SEC - 20 * MS, vec![busy()]);
+    assert!(failed(&before_aim).is_empty(), "{before_aim:?}");
+    let past_aim = step(&mut server, 2 * SEC + 10 * MS, vec![busy()]);
+    assert!(failed(&past_aim).contains(&"b".to_owned()), "{past_aim:?}");
+    assert!(refusal(&past_aim, "b").is_none());
+}
