--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -792,7 +792,7 @@
     let (mut server, now) = warm(settings(), 50 * MS);
     let out = step(&mut server, now, vec![Event::Arrived(arrival("late", 0, 10 * MS))]);
     let (stay_away, _) = refusal(&out, "late").expect("no time for it: {out:?}");
-    assert!(stay_away >= 100 * MS && stay_away <= SEC, "advice {stay_away}");
+    assert!((100 * MS..=SEC).contains(&stay_away), "advice {stay_away}");
 }
 
 /// Guards against holding a repeat that waits for another's answer until its deadline: past its aim it is
