Keys a configuration is not known to hold are told by file and line, never refused

Cause: the issue asks that an unknown key not pass unseen; a slip such as 'wirte' for 'write' leaves a class unmarked.

--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use umberloom::interface::{Below, Effect, Settings, Signal};
 
+use super::keys_known;
 use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
 use umberloom_settings::{class_names, locate, settings, GaugeNames};
@@ -44,6 +45,8 @@
     pub classes: Vec<String>,
     /// Names of the gauges, in their order.
     pub gauges: GaugeNames,
+    /// What is to be told about the file without refusing it: keys that it is not known to hold, by line.
+    pub warnings: Vec<String>,
 }
 
 impl Config {
@@ -51,14 +54,22 @@
     pub fn load(path: &Path) -> Result<Config, String> {
         let place = |why: String| format!("configuration {}: {why}", path.display());
         let bytes = std::fs::read(path).map_err(|e| place(e.to_string()))?;
-        Config::parse(&bytes).map_err(|why| {
-            // A complaint that names a field names the line where it stands too.
-            let text = String::from_utf8_lossy(&bytes);
-            match locate::named(&why).and_then(|field| locate::line_of(&text, field)) {
-                Some(line) => format!("configuration {}:{line}: {why}", path.display()),
-                None => place(why),
-            }
-        })
+        let text = String::from_utf8_lossy(&bytes);
+        // A complaint that names a field names the line where it stands too.
+        let at = |field: &str| match locate::line_of(&text, field) {
+            Some(line) => format!("configuration {}:{line}", path.display()),
+            None => format!("configuration {}", path.display()),
+        };
+        let mut config = Config::parse(&bytes).map_err(|why| match locate::named(&why) {
+            Some(field) => format!("{}: {why}", at(field)),
+            None => place(why),
+        })?;
+        let top = serde_json::from_slice::<Value>(&bytes).ok().and_then(|v| v.as_object().cloned());
+        let strays = top.map(|top| keys_known::unknown(&top)).unwrap_or_default();
+        let said =
+            |field: &String| format!("{}: field `{field}` is no key known here; disregarded", at(field));
+        config.warnings = strays.iter().map(said).collect();
+        Ok(config)
     }
 
     /// Reads and checks a configuration.
@@ -77,6 +88,7 @@
             settings: settings(options, seed(&top)?)?,
             classes: class_names(options)?,
             gauges: GaugeNames::read(options)?,
+            warnings: Vec::new(),
         };
         config.check()?;
         Ok(config)
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod config;
+mod keys_known;
 pub mod log;
 pub mod phase;
 pub mod rare;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -13,7 +13,7 @@
 use std::process::ExitCode;
 
 use bpaf::{construct, long, pure, OptionParser, Parser};
-use slog::{info, Level};
+use slog::{info, warn, Level};
 
 use lifecycle::config::Config;
 use lifecycle::signals::Notices;
@@ -60,6 +60,7 @@
     let level = if verbose { Level::Debug } else { Level::Info };
     let (log, _guard) = lifecycle::log::start(&config.name, level);
     info!(log, "start"; "cold" => config.settings.cold, "version" => env!("CARGO_PKG_VERSION"), "listen" => %config.listen);
+    config.warnings.iter().for_each(|said| warn!(log, "configuration"; "said" => said));
     if let Some(operator) = &told.1 {
         let (dependencies, plans) = (operator.services.len(), operator.dependencies.plans.len());
         info!(log, "operator's file"; "dependencies" => dependencies, "plans" => plans);
@@ -73,6 +74,7 @@
     }
     let known = config.as_deref().map(Config::load).transpose()?;
     if let Some(config) = &known {
+        config.warnings.iter().for_each(|said| eprintln!("umberloom: warning: {said}"));
         println!("{}: sound", config.name);
     }
     if let Some(path) = operator {
--- a/crates/server/tests/command_line.rs
+++ b/crates/server/tests/command_line.rs
@@ -83,6 +83,25 @@
     assert!(said.contains(&format!(":{line}: field `classes[0].write`: a write needs")), "{said}");
 }
 
+/// Guards against a slip of the pen that leaves a setting at its default unseen (`wirte` for `write`): it is
+/// told with its line. It is not refused, as files may carry keys of their own (the fleet's `admin`).
+#[test]
+fn a_key_that_is_none_is_told_with_its_line() {
+    let mut config = config();
+    let class = config.pointer_mut("/settings/classes/0").expect("a class");
+    class.as_object_mut().expect("an object").insert("wirte".to_owned(), json!(true));
+    let text = serde_json::to_string_pretty(&config).expect("text");
+    let line = 1 + text.lines().position(|l| l.contains("\"wirte\"")).expect("the field");
+    let output = run(&["check"], Some(&text));
+    assert!(output.status.success(), "{output:?}");
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert!(
+        said.contains(&format!(":{line}: field `settings.classes[0].wirte` is no key known here")),
+        "{said}"
+    );
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
+
 /// Guards against a keyed write that runs twice because its key was pushed out of a full table: keys that
 /// weigh nothing in memory are not bounded by it.
 #[test]
