Connections stay where three arrivals in four come from callers that come again

Change: health.returns keeps that share; above RETURNING (0.75) the bound on open connections is twice the survivable crowd, else half of it as before. Test: connections_stay_where_callers_come_again, red without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 /// Shares of further tries and of new connections above which refusals ask not to try elsewhere.
 const JAM: f64 = 0.25;
 const STRANGE: f64 = 0.5;
+/// Share of arrivals from callers that come again within the idle time above which their connections stay.
+const RETURNING: f64 = 0.75;
 /// Calls are slow when they typically take so many times their best, which is forgotten at this rate.
 const SLOW_CALLS: f64 = 3.0;
 /// Part of what the dependency survives with which it isn't crowded: fewer in hand make no call quicker.
@@ -152,6 +154,8 @@
     again: f64,
     /// Share of arrivals from callers that have not been here within the time that connections stay.
     strangers: f64,
+    /// Share of arrivals from callers that have been here within the longest time that connections may stay.
+    returns: f64,
     /// Share of what was read that is turned away.
     refused: f64,
     errors: f64,
@@ -383,7 +387,10 @@
 
     /// Notes when a caller was here last, and whether it needed a new connection.
     fn meet(&mut self, now: Micros, caller: u64) {
-        let here = self.callers.insert(caller, now).is_some_and(|seen| seen + self.idle >= now);
+        let seen = self.callers.insert(caller, now);
+        let here = seen.is_some_and(|seen| seen + self.idle >= now);
+        let returns = seen.is_some_and(|seen| seen + self.set.idle_max >= now);
+        self.health.returns = blend(Some(self.health.returns), f64::from(u8::from(returns)));
         let strange = self.set.connect_price > 0.0 && !here;
         self.health.strangers = blend(Some(self.health.strangers), f64::from(u8::from(strange)));
     }
@@ -722,7 +729,9 @@
     /// An open connection takes a part of the cores and a place that another caller may need: beyond half
     /// the survivable crowd those idle longest are closed; under half of that they stay longer again.
     fn close_idle(&mut self, open: f64, out: &mut Vec<Action>) {
-        let useful = f64::from(self.set.cores) * self.set.crowd / 2.0;
+        // Where most callers come again before their connections would end, each place kept saves more.
+        let kept = if self.health.returns > RETURNING { 2.0 } else { 0.5 };
+        let useful = f64::from(self.set.cores) * self.set.crowd * kept;
         let keep = open < useful / 2.0;
         let sooner = if open > useful { self.idle / 2 } else { self.idle };
         let span = (if keep { self.idle * 2 } else { sooner }).max(READ_EVERY).min(self.set.idle_max);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -673,6 +673,27 @@
     assert_eq!(closing(&step(&mut server, 5 * SEC, vec![open_connections(3.0)])), Some(15 * SEC));
 }
 
+/// Guards against closing connections that nearly every arrival would use again: a small fleet's callers
+/// pay a handshake for most of their requests then, though all of them would find a place.
+#[test]
+fn connections_stay_where_callers_come_again() {
+    let closes = |callers: u64, open: f64| {
+        let mut server = server(settings());
+        (1..=60).any(|n| {
+            let name = format!("r{n}");
+            let one = Event::Arrived(Arrival { caller: n % callers, ..arrival(&name, 0, 6 * SEC) });
+            step(&mut server, n * 500 * MS - MS, vec![one]);
+            step(&mut server, n * 500 * MS - MS, vec![ended(&name, MS)]);
+            let out =
+                step(&mut server, n * 500 * MS, vec![open_connections(if n > 30 { open } else { 3.0 })]);
+            closing(&out).is_some()
+        })
+    };
+    assert!(!closes(10, 30.0), "twice the survivable crowd is 32");
+    assert!(closes(10, 40.0), "nothing proves that so many find a place");
+    assert!(closes(1_000, 30.0), "nobody comes again");
+}
+
 fn stranger(n: u64) -> Event {
     Event::Arrived(Arrival { caller: 100 + n, ..arrival(&format!("s{n}"), 0, 6 * SEC) })
 }
