Behind the first tier connections are never closed early

Change: the span is not halved behind the first tier. Callers there are the servers of the tier before, which are counted and come again; the table that strangers fill is the first tier's.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -733,7 +733,8 @@
         let kept = if self.health.returns > RETURNING { 2.0 } else { 0.5 };
         let useful = f64::from(self.set.cores) * self.set.crowd * kept;
         let keep = open < useful / 2.0;
-        let sooner = if open > useful { self.idle / 2 } else { self.idle };
+        // Behind the first tier callers are the servers before it: they are counted, and come again and again.
+        let sooner = if open > useful && self.set.tier == 0 { self.idle / 2 } else { self.idle };
         let span = (if keep { self.idle * 2 } else { sooner }).max(READ_EVERY).min(self.set.idle_max);
         if span != self.idle {
             self.idle = span;
