Ages of marked tries where no wait is told; advice leaves time to come back

And give_up() told a request to stay away for as long as the hold takes to empty, up to 1 s of an aim of 1.3 s: who obeyed was late.

Change: where no wait is told, a marked try is as old as one that was turned away here and stayed away as told (health.turned, mean of age at the refusal and advice). Advice is at most PATIENCE (a quarter) of what the request can spare, the full span where it has no time left; sick and leaving servers go on naming the longest. No new constant.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,8 @@
     stage: Stage,
     /// Answered, or nobody waits: only its work is still here.
     over: bool,
+    /// When it reached the machine.
+    reached: Micros,
     /// Its answer must be out by then.
     due: Micros,
     /// After this an answer is worth little or nothing.
@@ -159,6 +161,8 @@
     /// Share of what was read that is turned away.
     refused: f64,
     errors: f64,
+    /// Mean age of a request that comes again once it was turned away and stayed away as told.
+    turned: f64,
     sick: bool,
     /// Checks are told so; and whether anything arrived since the last reading.
     unwell: bool,
@@ -352,6 +356,7 @@
             worth: self.worths[place.min(self.worths.len() - 1)],
             held_kb: a.held_kb,
             hint: a.cost.map(|c| c as f64),
+            reached,
             due,
             need,
             ..Request::default()
@@ -376,7 +381,10 @@
     /// How old a try is at least, by its stated wait. Behind the first tier waits tell nothing: each is
     /// what its caller's own request has left.
     fn age(&mut self, a: &Arrival, class: &Class, reached: Micros, now: Micros) -> Micros {
-        let Some(waits) = a.waits.filter(|_| self.set.tier == 0) else { return 0 };
+        let Some(waits) = a.waits.filter(|_| self.set.tier == 0) else {
+            // No wait is told: a further try was turned away somewhere, as this server turns away.
+            return if a.retry && a.waits.is_none() { self.health.turned as Micros } else { 0 };
+        };
         // Nobody waits for longer than a client does; who says so must not become a habit.
         let share = ((now + waits - reached) as f64 / class.deadline as f64).min(1.0);
         if reached >= self.stood {
@@ -609,11 +617,12 @@
 
     /// The final answer of a request that is not served.
     fn give_up(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
-        let (stay_away, unread) = (self.stay_away(), self.health.unread);
+        let unread = self.health.unread;
         // Elsewhere it is no better where so many are further tries, nor where each step costs a connection.
         let jam = self.health.again > JAM || self.health.strangers > STRANGE;
         let Some(r) = self.all.get(&seq) else { return };
         let (over, expected) = (self.over_quota(now, r), self.expected(r));
+        let stay_away = self.stay_away(r.need as f64 - now as f64 - unread - expected);
         let id = r.id.clone();
         // A safe run may be turned away: the refusal names a time to come back; its work goes on.
         let safe_run = r.stage == Stage::Running && self.set.classes[r.class].effect == Effect::Safe;
@@ -624,6 +633,8 @@
             // server is to take it either.
             let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
             self.health.refused = blend(Some(self.health.refused), 1.0);
+            let again = (now.saturating_sub(r.reached) + stay_away) as f64;
+            self.health.turned = blend(Some(self.health.turned), again);
             out.push(Action::Refuse { id, stay_away, terminal });
         } else {
             out.push(Action::Fail(id));
@@ -654,15 +665,17 @@
         }
     }
 
-    /// Advice: about as long as the hold, or what stands unread before it, takes to empty; never none
-    /// where advice is passed on, so that every refusal names a time to come back.
-    fn stay_away(&self) -> Micros {
+    /// Advice: about as long as the hold, or what stands unread before it, takes to empty, but a part of the
+    /// time that the request can spare at most: who comes back as told must still be served in time. Never
+    /// none where advice is passed on, so that every refusal names a time to come back.
+    fn stay_away(&self, spare: f64) -> Micros {
         if self.health.sick || self.leave.is_some() {
             return self.set.advice_max;
         }
         let work: f64 = self.hold.iter().map(|s| self.expected(&self.all[s])).sum();
-        let span = (work / self.limit.slots as f64).max(self.health.unread) as Micros;
-        span.max(PROBE_EVERY).min(self.set.advice_max)
+        let span = (work / self.limit.slots as f64).max(self.health.unread);
+        let span = if spare > 0.0 { span.min(spare * PATIENCE) } else { span };
+        (span as Micros).max(PROBE_EVERY).min(self.set.advice_max)
     }
 
     /// Refuses early what, in the order of the search, can't be done in time: the answer comes while
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -654,6 +654,34 @@
     }
 }
 
+/// Guards against work on what is late already: where callers tell no wait, a marked try is as old as one
+/// that was turned away here and stayed away as told.
+#[test]
+fn a_marked_try_without_a_told_wait_is_as_old_as_those_turned_away() {
+    let (mut server, now) = warm(settings(), 600 * MS);
+    let untold = |name: &str, queued: Micros, retry: bool| {
+        Event::Arrived(Arrival { waits: None, queued, retry, ..arrival(name, 1, 0) })
+    };
+    let old = (0..30).map(|n| untold(&format!("o{n}"), 1_900 * MS, false)).collect();
+    assert_eq!(refused(&step(&mut server, now, old)).len(), 30, "no time for any");
+    let out = step(&mut server, now + MS, vec![untold("again", 0, true), untold("fresh", 0, false)]);
+    assert_eq!(refused(&out), ["again"]);
+}
+
+/// Guards against advice that makes who follows it late: a quarter of what the request can spare at most.
+#[test]
+fn who_comes_back_as_told_still_has_time() {
+    let (mut server, now) = warm(settings(), 600 * MS);
+    let out = send(&mut server, now, &[("a", 1), ("b", 1), ("c", 0)]);
+    let (stay_away, _) = refusal(&out, "c").expect("would wait too long");
+    // The hold takes 0.6 s to empty; of 2 s the run takes 0.6 s.
+    assert!((300 * MS..=350 * MS).contains(&stay_away), "{stay_away}");
+    // Who has no time left is not told to hurry.
+    let old = Event::Arrived(Arrival { queued: 1_900 * MS, ..arrival("d", 1, 6 * SEC) });
+    let out = step(&mut server, now + MS, vec![old]);
+    assert!(refusal(&out, "d").expect("no time").0 >= 590 * MS, "{out:?}");
+}
+
 fn open_connections(open: f64) -> Event {
     Event::Timer(Gauges { cpu: Some(0.5), on_cores: Some(1.0), memory: Some(0.1), connections: Some(open) })
 }
