While crowded the limit moves only on counts well beyond chance

Change (read() in src/choice.rs): while the mean of what wants a core is over one a core, counts move the limit only when twice their spread apart; else it steps back as before. Uncrowded, the climbing is unchanged.

Test, red without the change: while_crowded_only_counts_well_beyond_chance_ move_the_limit.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -550,11 +550,14 @@
             if done < limit.before - noise {
                 limit.step = -limit.step;
             }
-            if (done - limit.before).abs() > noise {
+            // Where more wants a core than there are, counts rise and fall with the other work too: only what is
+            // well beyond chance shows that more or fewer runs get more done.
+            let shown = if excess > 0.0 { 2.0 * noise } else { noise };
+            if (done - limit.before).abs() > shown {
                 limit.slots = limit.slots.saturating_add_signed(limit.step);
             } else if excess > 0.0 {
-                // Flat, yet more wants a core than there are cores: what the gauge rule put on top in a
-                // lull only gets in the way, and counts are too few to show it. Back by a quarter of it.
+                // Flat, yet crowded: what the gauge rule put on top in a lull only gets in the way, and counts
+                // are too few to show it. Back by a quarter of it.
                 limit.slots = limit.slots.saturating_sub((excess / 4.0).max(1.0) as usize);
             }
             limit.before = done;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -121,3 +121,21 @@
     let crowd = (1..40).map(|tag| interval(&mut host, 40, 8.0, tag)).collect::<Vec<_>>();
     assert_eq!(*crowd.last().expect("some"), 2, "never below the cores: {crowd:?}");
 }
+
+/// Guards against climbing in a crowd on counts that rise with the other work (reading, new connections):
+/// there only what is well beyond chance moves the limit, and that still does.
+#[test]
+fn while_crowded_only_counts_well_beyond_chance_move_the_limit() {
+    let slots = |low: usize, high: usize| {
+        let mut host = Host::new(settings());
+        host.step(vec![Event::Arrived(arrival("a", 0, 6 * SEC)), Event::Arrived(arrival("b", 0, 6 * SEC))]);
+        host.now = 500 * MS;
+        host.step(vec![idle()]);
+        let count = |tag: usize| if tag.is_multiple_of(2) { low } else { high };
+        (1..24).map(|tag| interval(&mut host, count(tag), 8.0, tag)).skip(6).collect::<Vec<_>>()
+    };
+    let chance = slots(24, 40);
+    assert!(chance.iter().all(|&s| s == 2), "16 apart, chance is 8: {chance:?}");
+    let proof = slots(10, 80);
+    assert!(proof.iter().any(|&s| s > 2), "70 apart, chance is under 10: {proof:?}");
+}
