Checks are answered from store once more wants a core than there are

A probe of arrivals and gauges by server showed nodes with both cores busy, 8 to 14 wanting a core, empty holds, nothing running, and arrivals that waited 3.5 to 5 s to be read. Their 20 to 30 arrivals a second came over 10 to 15 connections that stay, so reading and handshakes do not account for it: deep checks are left. tell_health() in src/choice.rs said nothing until a server was sick or left, and until then each check does real work.

Change: the first time that the mean of what wants a core exceeds the cores, the server says that it is well, which makes checks cheap; until then they go on showing whether work gets done. docs/incidents/checks.md.

Test: checks_are_answered_from_store_once_more_wants_a_core_than_there_are.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -164,8 +164,9 @@
     /// Mean age of a request that comes again once it was turned away and stayed away as told.
     turned: f64,
     sick: bool,
-    /// Checks are told so; and whether anything arrived since the last reading.
-    unwell: bool,
+    /// Whether checks are told that it is unwell, once they are told anything.
+    told: Option<bool>,
+    /// Something arrived since the last reading.
     heard: bool,
     probe_at: Micros,
 }
@@ -762,8 +763,11 @@
     /// a large fleet whose list follows readiness, servers that leave it at once swamp the rest.
     fn tell_health(&mut self, out: &mut Vec<Action>) {
         let unwell = self.health.sick || self.leave.is_some();
-        if self.health.unwell != unwell {
-            self.health.unwell = unwell;
+        // Until it is told something each check may do real work. That shows whether work gets done, but where
+        // more wants a core than there are, callers that check often keep a server from all else.
+        let first = self.health.told.is_none() && self.crowding > f64::from(self.set.cores);
+        if self.health.told.unwrap_or(false) != unwell || first {
+            self.health.told = Some(unwell);
             out.push(Action::Ready(!unwell));
             // The free value says the same, for as long as callers keep it.
             let value = match self.set.signal {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -682,6 +682,24 @@
     assert!(refusal(&out, "d").expect("no time").0 >= 590 * MS, "{out:?}");
 }
 
+/// Guards against checks that do real work on cores that are wanted (mapas-central i4f6bde: callers' checks
+/// took both cores of a server for the whole day): once crowded it answers them from store, and only then.
+#[test]
+fn checks_are_answered_from_store_once_more_wants_a_core_than_there_are() {
+    let mut set = settings();
+    set.signal = Signal::MinRank;
+    let mut quiet = server(set.clone());
+    let quiet: Vec<bool> =
+        (1..100).flat_map(|n| told(&step(&mut quiet, n * 100 * MS, vec![busy()]))).collect();
+    assert_eq!(quiet, [], "two want two cores: checks go on showing whether work gets done");
+    let mut crowded = server(set);
+    let wants = Gauges { cpu: Some(1.0), on_cores: Some(9.0), ..Gauges::default() };
+    let looks = (1..100).map(|n| step(&mut crowded, n * 100 * MS, vec![Event::Timer(wants)]));
+    let said: Vec<Action> = looks.flatten().collect();
+    assert_eq!(told(&said), [true], "once");
+    assert!(said.iter().any(|a| matches!(a, Action::Signal(value) if *value == 0.0)), "nobody is kept away");
+}
+
 fn open_connections(open: f64) -> Event {
     Event::Timer(Gauges { cpu: Some(0.5), on_cores: Some(1.0), memory: Some(0.1), connections: Some(open) })
 }
