Real server: requests without a stated wait, marked tries, and mixes refused by key

A configuration with keys of both shapes started.

Change: crates/settings/src/shape.rs reads family_info.passes_deadline (true unless set), client_habits.marks_retry (false unless set) and load_report.how, and refuses piggyback with stated waits, pull or a stop of running work without them, naming the key; check and serve add file and line. Work.budget is an Option: with passes_deadline its absence is a 400 as before; without, the class limit counts from when the request reached the machine, and a stated wait is disregarded. Attempt: N above 1 is a further try where tries are marked.

--- a/crates/server/src/exchange/caller.rs
+++ b/crates/server/src/exchange/caller.rs
@@ -20,8 +20,10 @@
     pub class: String,
     /// When it reached the machine, in Unix microseconds.
     pub received: Micros,
-    /// How long its caller waits from then on.
-    pub budget: Micros,
+    /// How long its caller waits from then on, if it says so.
+    pub budget: Option<Micros>,
+    /// Which try of its request it is, 1 for the first.
+    pub attempt: u32,
     /// Number of the balancer.
     pub sender: u64,
     /// Memory while held, in kilobytes.
@@ -37,12 +39,12 @@
 impl Work {
     /// Whether its times can be meant by anyone whose Unix clock reads `unix`.
     pub fn is_timely(&self, unix: Micros) -> bool {
-        self.received.abs_diff(unix) <= FAR && self.budget <= FAR
+        self.received.abs_diff(unix) <= FAR && self.budget.unwrap_or(0) <= FAR
     }
 
-    /// How long its caller still waits at this Unix time.
-    pub fn waits(&self, unix: Micros) -> Micros {
-        self.received.saturating_add(self.budget).saturating_sub(unix)
+    /// How long its caller still waits at this Unix time, if it says so.
+    pub fn waits(&self, unix: Micros) -> Option<Micros> {
+        self.budget.map(|budget| self.received.saturating_add(budget).saturating_sub(unix))
     }
 }
 
--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -9,6 +9,7 @@
 use super::keys_known;
 use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
+use umberloom_settings::shape::Shape;
 use umberloom_settings::{class_names, locate, settings, GaugeNames};
 
 /// What the process may take.
@@ -41,6 +42,8 @@
     pub limits: Limits,
     /// What the module is told.
     pub settings: Settings,
+    /// What requests say of themselves.
+    pub shape: Shape,
     /// Names of the classes, in their order.
     pub classes: Vec<String>,
     /// Names of the gauges, in their order.
@@ -77,6 +80,7 @@
         let value: Value = serde_json::from_slice(bytes).map_err(|e| format!("not JSON: {e}"))?;
         let Value::Object(top) = value else { return Err("expected an object".into()) };
         let options = object(&top, "settings")?;
+        let set = settings(options, seed(&top)?)?;
         let config = Config {
             name: text(&top, "name")?.to_owned(),
             listen: address(&top, "listen")?,
@@ -85,7 +89,8 @@
             records: if top.contains_key("records") { Some(address(&top, "records")?) } else { None },
             stop: whole(&top, "stop_ms")?.saturating_mul(1_000),
             limits: limits(&top)?,
-            settings: settings(options, seed(&top)?)?,
+            shape: Shape::read(options, set.halt)?,
+            settings: set,
             classes: class_names(options)?,
             gauges: GaugeNames::read(options)?,
             warnings: Vec::new(),
@@ -138,7 +143,10 @@
             (self.listen == new.listen, "listen"),
             (self.limits == new.limits, "limits"),
             (
-                self.settings == settings && self.classes == new.classes && self.gauges == new.gauges,
+                self.settings == settings
+                    && self.shape == new.shape
+                    && self.classes == new.classes
+                    && self.gauges == new.gauges,
                 "settings",
             ),
         ];
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -189,6 +189,7 @@
         let shared = Shared {
             module: module.clone(),
             classes: Rc::new(config.classes.clone()),
+            shape: config.shape,
             connections: parts.connections,
             serial: Rc::default(),
             budget: budget.clone(),
@@ -199,7 +200,7 @@
         let idle = config.settings.idle_max;
         let connections =
             executor.spawn(Front::new(executor.clone(), from, shared, front_orders, idle).run());
-        let told = (config.settings.clone(), config.gauges.clone());
+        let told = (config.settings.clone(), config.shape, config.gauges.clone());
         let seed = config.settings.seed;
         let mut program = Program {
             executor: executor.clone(),
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -12,6 +12,7 @@
     Action, Arrival, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId, Settings,
 };
 use umberloom::Server;
+use umberloom_settings::shape::Shape;
 use umberloom_settings::GaugeNames;
 
 use crate::exchange::agent::{self, Order};
@@ -51,6 +52,7 @@
 /// The actor.
 pub struct Module {
     settings: Settings,
+    shape: Shape,
     /// There from the greeting on: a server begins to warm up when its agent starts.
     server: Option<Server>,
     gauges: GaugeNames,
@@ -82,7 +84,7 @@
 impl Module {
     /// Will host a server with these settings.
     pub fn new(
-        (settings, gauges): (Settings, GaugeNames),
+        (settings, shape, gauges): (Settings, Shape, GaugeNames),
         plans: Option<Plans>,
         mail: Receiver<Message>,
         others: Others,
@@ -95,6 +97,7 @@
         let (server, tag, ready, stop_at) = (None, 0, None, None);
         Module {
             settings,
+            shape,
             server,
             gauges,
             mail,
@@ -267,7 +270,12 @@
             work.key = Some(key);
         }
         let unix = self.clock.unix();
-        let waits = work.waits(unix);
+        // Where requests state no wait, what one says of it all the same is not part of the agreement.
+        let waits = work.waits(unix).filter(|_| self.shape.passes_deadline);
+        let queued = unix.saturating_sub(work.received);
+        // Without one the limit of its class counts from when it reached the machine.
+        let limit = self.settings.classes.get(class).map_or(0, |c| c.deadline);
+        let left = waits.unwrap_or(limit.saturating_sub(queued));
         let subject = work.key.clone().map(|key| (class, key));
         let repeats = subject.and_then(|subject| self.keys.find(&subject, now));
         let arrival = Arrival {
@@ -276,20 +284,20 @@
             tenant: 0,
             caller: work.sender,
             // Time in socket buffers counts: the caller's wait began when the request reached the machine.
-            waits: Some(waits),
-            queued: unix.saturating_sub(work.received),
+            waits,
+            queued,
             held_kb: work.held_kb,
             rank: work.rank,
             cost: None,
             repeats,
-            retry: false,
+            retry: self.shape.marks_retry && work.attempt > 1,
         };
         let open = Open {
             id,
             class,
             work,
             body,
-            due: now + waits,
+            due: now + left,
             reply_to: Some(reply_to),
             run: Run::None,
             ran: false,
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -37,7 +37,7 @@
     let (me, words) = async_channel::bounded(64);
     let others = Others { agent, records, list, front, up: async_channel::bounded(1).0 };
     let log = Logger::root(slog::Discard, slog::o!());
-    let told = (set, GaugeNames::default());
+    let told = (set, Shape { passes_deadline: true, marks_retry: false }, GaugeNames::default());
     let mut module = Module::new(told, None, async_channel::bounded(1).1, others, Clock::default(), log);
     module.greet(NOW, 0);
     module.events.clear();
@@ -53,23 +53,28 @@
 }
 
 impl Bench {
-    fn request(&mut self, id: &str, key: Option<&str>) {
-        self.request_with(id, key, None);
-    }
-
-    fn request_with(&mut self, id: &str, key: Option<&str>, idempotency_key: Option<&str>) {
-        self.serial += 1;
-        let work = Work {
+    fn work(&self, id: &str, key: Option<&str>, idempotency_key: Option<&str>) -> Work {
+        Work {
             id: id.to_owned(),
             class: "desk-search".to_owned(),
             received: self.module.clock.unix() - 1_000_000,
-            budget: 500_000_000,
+            budget: Some(500_000_000),
+            attempt: 1,
             sender: 4,
             held_kb: 20.0,
             rank: 0.5,
             key: key.map(String::from),
             idempotency_key: idempotency_key.map(String::from),
-        };
+        }
+    }
+
+    fn request(&mut self, id: &str, key: Option<&str>) {
+        self.request_with(id, key, None);
+    }
+
+    fn request_with(&mut self, id: &str, key: Option<&str>, idempotency_key: Option<&str>) {
+        self.serial += 1;
+        let work = self.work(id, key, idempotency_key);
         let reply_to = ReplyTo::new(self.me.clone(), 1, self.serial);
         let charge = Budget::new(1).take(0).expect("nothing");
         let request = Request { id: id.into(), class: 0, work, body: b"body".to_vec(), reply_to, charge };
@@ -431,3 +436,28 @@
     let Some(Event::Arrived(arrival)) = bench.module.events.last() else { panic!("an arrival") };
     assert_eq!(arrival.repeats, None);
 }
+
+/// The new shape: a try is marked by its attempt and states no wait; what it states all the same is no part of
+/// the agreement. Without the settings all is as it was.
+#[test]
+fn what_a_request_says_of_itself_counts_as_the_shape_has_it() {
+    let arrival = |shape: Shape, attempt: u32| {
+        let mut bench = bench(Halt::Never);
+        bench.module.shape = shape;
+        let work = Work { attempt, ..bench.work("a", None, None) };
+        let (reply_to, charge) =
+            (ReplyTo::new(bench.me.clone(), 1, 1), Budget::new(1).take(0).expect("nothing"));
+        let request = Request { id: "a".into(), class: 0, work, body: Vec::new(), reply_to, charge };
+        bench.module.arrived(NOW, request);
+        match bench.module.events.pop() {
+            Some(Event::Arrived(arrival)) => (arrival.waits.is_some(), arrival.retry),
+            other => panic!("{other:?}"),
+        }
+    };
+    let old = Shape { passes_deadline: true, marks_retry: false };
+    assert_eq!(arrival(old, 2), (true, false));
+    assert_eq!(arrival(Shape { marks_retry: true, ..old }, 2), (true, true));
+    let new = Shape { passes_deadline: false, marks_retry: true };
+    assert_eq!(arrival(new, 1), (false, false));
+    assert_eq!(arrival(new, 2), (false, true));
+}
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -11,6 +11,7 @@
 use futures_lite::future;
 use slog::{debug, warn, Logger};
 use umberloom::interface::{Micros, RequestId};
+use umberloom_settings::shape::Shape;
 
 use super::stream::{self, Got};
 use crate::exchange::caller::{Activity, Answer, Check, ReplyTo, Request, Word, Work};
@@ -52,6 +53,8 @@
     pub module: Sender<Message>,
     /// Names of the classes, in their order.
     pub classes: Rc<Vec<String>>,
+    /// What requests say of themselves here.
+    pub shape: Shape,
     /// Most connections at once.
     pub connections: usize,
     /// The last serial that was given to a request.
@@ -438,6 +441,9 @@
             Ask::Work(work) if work.is_timely(self.shared.clock.unix()) => work,
             Ask::Work(_) => return Err("times far from now"),
         };
+        if self.shared.shape.passes_deadline && work.budget.is_none() {
+            return Err("no budget");
+        }
         let class = self.shared.classes.iter().position(|name| *name == work.class);
         class.map(|class| Meant::Work(work, class)).ok_or("no known class")
     }
--- a/crates/server/src/peers/front/tests.rs
+++ b/crates/server/src/peers/front/tests.rs
@@ -13,6 +13,7 @@
 use crate::peers::stream;
 use crate::wire::fastcgi;
 use crate::wire::responder::OPEN;
+use umberloom_settings::shape::Shape;
 
 /// Longest wait for anything that must come.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -71,6 +72,7 @@
     let shared = Shared {
         module,
         classes: Rc::new(vec![]),
+        shape: Shape { passes_deadline: true, marks_retry: false },
         connections: places.table(),
         serial: Rc::default(),
         budget: Budget::new(1 << 24),
--- a/crates/server/src/wire/cgi.rs
+++ b/crates/server/src/wire/cgi.rs
@@ -40,7 +40,14 @@
         id: id.to_owned(),
         class: class.to_owned(),
         received: millis("HTTP_RECEIVED_AT").ok_or("no time of arrival")?,
-        budget: millis("HTTP_BUDGET_MS").ok_or("no budget")?,
+        budget: match get("HTTP_BUDGET_MS") {
+            Some(_) => Some(millis("HTTP_BUDGET_MS").ok_or("no budget")?),
+            None => None,
+        },
+        attempt: match get("HTTP_ATTEMPT") {
+            Some(n) => n.trim().parse().ok().filter(|n| *n > 0).ok_or("no attempt")?,
+            None => 1,
+        },
         sender: get("HTTP_SENT_BY").and_then(|v| v.trim().parse().ok()).ok_or("no sender")?,
         held_kb: number("HTTP_FOOTPRINT_KB").filter(|&n| n > 0.0 && n < 2_000.0).ok_or("no footprint")?,
         rank: number("HTTP_PRIORITY_RANK").filter(|n| (0.0..1.0).contains(n)).ok_or("no rank")?,
@@ -118,7 +125,7 @@
     fn every_field_is_read() {
         let Ok(Ask::Work(work)) = ask(&params(|_| None)) else { panic!("work") };
         assert_eq!((work.id.as_str(), work.class.as_str()), ("9b1f03aa5c7e2d41", "desk-search"));
-        assert_eq!((work.received, work.budget, work.sender), (1_764_576_000_123_000, 480_000, 4));
+        assert_eq!((work.received, work.budget, work.sender), (1_764_576_000_123_000, Some(480_000), 4));
         assert_eq!((work.held_kb, work.rank), (24.5, 0.625));
         assert_eq!(work.key.as_deref(), Some("7f3a9c21e0b4d655"));
         assert_eq!(work.idempotency_key, None, "absent unless sent");
@@ -155,7 +162,7 @@
         assert!(work.is_timely(work.received) && work.is_timely(work.received + FAR));
         assert!(work.is_timely(work.received - FAR) && !work.is_timely(work.received + FAR + 1));
         assert!(!work.is_timely(0));
-        assert!(!Work { budget: FAR + 1, ..work }.is_timely(1_764_576_000_123_000));
+        assert!(!Work { budget: Some(FAR + 1), ..work }.is_timely(1_764_576_000_123_000));
     }
 
     #[test]
--- a/crates/server/tests/command_line.rs
+++ b/crates/server/tests/command_line.rs
@@ -83,6 +83,32 @@
     assert!(said.contains(&format!(":{line}: field `classes[0].write`: a write needs")), "{said}");
 }
 
+/// One build serves the old shape and the new; a configuration that mixes them is refused, by key and line.
+#[test]
+fn a_mix_of_shapes_is_refused_by_key_and_line() {
+    let mut new = config();
+    new["settings"]["family_info"]["passes_deadline"] = json!(false);
+    new["settings"]["family_info"]["preemption"] = json!("silent");
+    new["settings"]["load_report"] = json!({"how": "piggyback"});
+    let output = run(&["check"], Some(&new.to_string()));
+    assert!(output.status.success(), "{output:?}");
+    for (place, value, key) in [
+        ("/settings/family_info/passes_deadline", json!(true), "load_report.how"),
+        ("/settings/family_info/preemption", json!("pause"), "family_info.preemption"),
+        ("/settings/load_report/how", json!("pull"), "load_report.how"),
+    ] {
+        let mut mixed = new.clone();
+        *mixed.pointer_mut(place).expect("a field") = value;
+        let text = serde_json::to_string_pretty(&mixed).expect("text");
+        let name = key.rsplit('.').next().expect("a name");
+        let line = 1 + text.lines().position(|l| l.contains(&format!("\"{name}\""))).expect("the field");
+        for command in ["check", "serve"] {
+            let said = complaint(command, &text);
+            assert!(said.contains(&format!(":{line}: field `{key}`")), "{place}: {said}");
+        }
+    }
+}
+
 /// Guards against a slip of the pen that leaves a setting at its default unseen (`wirte` for `write`): it is
 /// told with its line. It is not refused, as files may carry keys of their own (the fleet's `admin`).
 #[test]
--- a/crates/server/tests/serving.rs
+++ b/crates/server/tests/serving.rs
@@ -280,3 +280,52 @@
     let mut balancer = Balancer::connect(world.listen);
     assert_eq!(balancer.ask(&Request::check(1, "")).status, 200);
 }
+
+/// The new shape: no request states how long its caller waits, and running work can't be stopped.
+fn untold(config: &mut serde_json::Value) {
+    let settings = &mut config["settings"];
+    settings["family_info"]["passes_deadline"] = false.into();
+    settings["family_info"]["preemption"] = "silent".into();
+    settings["load_report"] = serde_json::json!({"how": "piggyback", "names": ["backlog"]});
+    settings["client_habits"] = serde_json::json!({"marks_retry": true});
+    // `room` is given up after 0.6 s.
+    settings["classes"][2]["aim_us"] = 600_000.into();
+    settings["classes"][2]["hard_limit_us"] = 600_000.into();
+}
+
+#[test]
+fn without_stated_waits_the_limit_of_the_class_counts() {
+    let mut world = World::up(untold);
+    let mut balancer = world.balancer();
+    balancer.send(&Request::new(1, "a").without("HTTP_BUDGET_MS").with("HTTP_ATTEMPT", "2"));
+    assert_eq!(world.agent.expect("launch").0, "a");
+    // A wait that is stated all the same is no part of the agreement: this one would be over at once.
+    balancer.send(&Request::new(2, "b").with("HTTP_BUDGET_MS", "1"));
+    assert_eq!(world.agent.expect("launch").0, "b");
+    for id in ["a", "b"] {
+        world.agent.outcome(id, "fine", id.as_bytes());
+        assert_eq!((balancer.answer().status), 200);
+    }
+    let room = Request::new(3, "c").without("HTTP_BUDGET_MS").with("SCRIPT_NAME", "/svc/room");
+    let sent = std::time::Instant::now();
+    balancer.send(&room);
+    assert_eq!(world.agent.expect("launch").0, "c");
+    // It runs and runs: its final answer comes by the limit of its class, and names a time to come back.
+    let answer = balancer.answer();
+    assert_eq!(answer.status, 500, "what has run is never turned away");
+    let took = sent.elapsed().as_millis();
+    assert!((400..5_000).contains(&took), "{took} ms");
+    assert!(world.is_alive());
+}
+
+#[test]
+fn a_request_without_a_stated_wait_makes_no_sense_where_waits_are_stated() {
+    let world = World::up(|_| ());
+    let mut balancer = world.balancer();
+    assert_eq!(balancer.ask(&Request::new(1, "a").without("HTTP_BUDGET_MS")).status, 400);
+    let mut world = World::up(untold);
+    let mut balancer = world.balancer();
+    assert_eq!(balancer.ask(&Request::new(1, "a").with("HTTP_ATTEMPT", "0")).status, 400);
+    balancer.send(&Request::new(2, "b").without("HTTP_BUDGET_MS"));
+    assert_eq!(world.agent.expect("launch").0, "b");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fields;
 pub mod locate;
 mod names;
+pub mod shape;
 
 use serde_json::Value;
 use umberloom::interface::{Below, Class, Effect, Halt, Settings, Signal, Tenant};
