--- a/crates/server/tests/serving.rs
+++ b/crates/server/tests/serving.rs
@@ -310,7 +310,7 @@
     let sent = std::time::Instant::now();
     balancer.send(&room);
     assert_eq!(world.agent.expect("launch").0, "c");
-    // It runs and runs: its final answer comes by the limit of its class, and names a time to come back.
+    // It runs and runs: its final answer comes by the limit of its class.
     let answer = balancer.answer();
     assert_eq!(answer.status, 500, "what has run is never turned away");
     let took = sent.elapsed().as_millis();
