--- a/src/choice.rs
+++ b/src/choice.rs
@@ -551,14 +551,14 @@
             if done < limit.before - noise {
                 limit.step = -limit.step;
             }
-            // Where more wants a core than there are, counts rise and fall with the other work too: only what is
-            // well beyond chance shows that more or fewer runs get more done.
+            // Where more wants a core than there are, counts rise and fall with the other work too: only what
+            // is well beyond chance shows that more or fewer runs get more done.
             let shown = if excess > 0.0 { 2.0 * noise } else { noise };
             if (done - limit.before).abs() > shown {
                 limit.slots = limit.slots.saturating_add_signed(limit.step);
             } else if excess > 0.0 {
-                // Flat, yet crowded: what the gauge rule put on top in a lull only gets in the way, and counts
-                // are too few to show it. Back by a quarter of it.
+                // Flat, yet crowded: what the gauge rule put on top in a lull only gets in the way, and
+                // counts are too few to show it. Back by a quarter of it.
                 limit.slots = limit.slots.saturating_sub((excess / 4.0).max(1.0) as usize);
             }
             limit.before = done;
@@ -748,7 +748,7 @@
         let kept = if self.health.returns > RETURNING { 2.0 } else { 0.5 };
         let useful = f64::from(self.set.cores) * self.set.crowd * kept;
         let keep = open < useful / 2.0;
-        // Behind the first tier callers are the servers before it: they are counted, and come again and again.
+        // Behind the first tier callers are the servers before it: counted, and they come again and again.
         let sooner = if open > useful && self.set.tier == 0 { self.idle / 2 } else { self.idle };
         let span = (if keep { self.idle * 2 } else { sooner }).max(READ_EVERY).min(self.set.idle_max);
         if span != self.idle {
@@ -761,8 +761,8 @@
     /// a large fleet whose list follows readiness, servers that leave it at once swamp the rest.
     fn tell_health(&mut self, out: &mut Vec<Action>) {
         let unwell = self.health.sick || self.leave.is_some();
-        // Until it is told something each check may do real work. That shows whether work gets done, but where
-        // more wants a core than there are, callers that check often keep a server from all else.
+        // Until it is told something each check may do real work. That shows whether work gets done, but
+        // where more wants a core than there are, callers that check often keep a server from all else.
         let first = self.health.told.is_none() && self.crowding > f64::from(self.set.cores);
         if self.health.told.unwrap_or(false) != unwell || first {
             self.health.told = Some(unwell);
