--- a/src/choice.rs
+++ b/src/choice.rs
@@ -158,8 +158,6 @@
     strangers: f64,
     /// Share of arrivals from callers that have been here within the longest time that connections may stay.
     returns: f64,
-    /// Share of what was read that is turned away.
-    refused: f64,
     errors: f64,
     /// Mean age of a request that comes again once it was turned away and stayed away as told.
     turned: f64,
@@ -597,7 +595,6 @@
                 r.started = now;
                 let tenant = r.tenant;
                 out.push(Action::Admit(r.id.clone()));
-                self.health.refused = blend(Some(self.health.refused), 0.0);
                 self.count_tenant(now, tenant);
             }
         }
@@ -636,7 +633,6 @@
             // Advice would keep the caller's other tenants away as well, and beyond the quota no other
             // server is to take it either.
             let (stay_away, terminal) = if over { (0, true) } else { (stay_away, terminal) };
-            self.health.refused = blend(Some(self.health.refused), 1.0);
             let again = (now.saturating_sub(r.reached) + stay_away) as f64;
             self.health.turned = blend(Some(self.health.turned), again);
             out.push(Action::Refuse { id, stay_away, terminal });
