--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -740,6 +740,18 @@
     assert!(closes(1_000, 30.0), "nobody comes again");
 }
 
+/// Guards against a handshake for every call: behind the first tier callers are the servers before it, and
+/// closing their connections early only has them opened again (mapas-central, drawn big day 101).
+#[test]
+fn behind_the_first_tier_connections_are_never_closed_early() {
+    let closes = |tier: u32| {
+        let mut server = server(Settings { tier, ..settings() });
+        (1..20).any(|n| closing(&step(&mut server, n * SEC, vec![open_connections(40.0)])).is_some())
+    };
+    assert!(closes(0), "strangers fill the table of the first tier");
+    assert!(!closes(1));
+}
+
 fn stranger(n: u64) -> Event {
     Event::Arrived(Arrival { caller: 100 + n, ..arrival(&format!("s{n}"), 0, 6 * SEC) })
 }
@@ -835,18 +847,23 @@
     assert!(refused(&out).is_empty(), "{out:?}");
 }
 
+/// A server on which runs of the lowest class, one at a time, have taken this long; nothing runs now.
+fn alone(run: Micros) -> (Server, Micros) {
+    let (mut server, mut now) = (server(settings()), 0);
+    for n in 0..8 {
+        let name = format!("a{n}");
+        send(&mut server, now, &[(&name, 0)]);
+        now += run;
+        step(&mut server, now, vec![ended(&name, run), idle()]);
+    }
+    (server, now)
+}
+
 /// Guards against refusing for too long a wait what can start at once: runs expected to take about their
 /// aim left it no spare time, and the rule took that for a wait (pack-sale on a quiet day of mapas-central).
 #[test]
 fn what_can_start_at_once_is_never_refused_for_waiting_too_long() {
-    let mut server = server(settings());
-    let mut now = 0;
-    for n in 0..8 {
-        let a = format!("a{n}");
-        send(&mut server, now, &[(&a, 0)]);
-        now += 1_900 * MS;
-        step(&mut server, now, vec![ended(&a, 1_900 * MS), idle()]);
-    }
+    let (mut server, now) = alone(1_900 * MS);
     let out = send(&mut server, now, &[("x", 0), ("y", 0)]);
     assert!(refused(&out).is_empty(), "two cores are free: {out:?}");
     assert_eq!(admitted(&out), ["x", "y"]);
@@ -856,14 +873,7 @@
 /// its aim goes elsewhere at once, though a core is free (mapas-central quiet: half of the servers are slow).
 #[test]
 fn what_would_end_too_late_goes_elsewhere_though_a_core_is_free() {
-    let mut server = server(settings());
-    let mut now = 0;
-    for n in 0..8 {
-        let a = format!("a{n}");
-        send(&mut server, now, &[(&a, 0)]);
-        now += 2_100 * MS;
-        step(&mut server, now, vec![ended(&a, 2_100 * MS), idle()]);
-    }
+    let (mut server, now) = alone(2_100 * MS);
     let out = send(&mut server, now, &[("x", 0), ("y", 0)]);
     assert_eq!(
         admitted(&out),
