--- /dev/null
+++ b/crates/membership/src/identity.rs
@@ -0,0 +1,36 @@
+//! Names of members, and what tells two processes of one name apart.
+
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+/// The name by which operators know a server; the same after a restart.
+pub type Name = Rc<str>;
+
+/// One process under a name: a later start wins over an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// Its name.
+    pub name: Name,
+    /// Its start, in Unix microseconds, as its own clock had it.
+    pub boot: u64,
+    /// How often it has come back after the others held it for failed.
+    pub renewal: u32,
+}
+
+impl foca::Identity for Id {
+    type Addr = Name;
+
+    /// Held for failed while it lives, it comes back at once, and says so by a higher number.
+    fn renew(&self) -> Option<Id> {
+        Some(Id { renewal: self.renewal.wrapping_add(1), ..self.clone() })
+    }
+
+    fn addr(&self) -> Name {
+        self.name.clone()
+    }
+
+    fn win_addr_conflict(&self, other: &Id) -> bool {
+        (self.boot, self.renewal) > (other.boot, other.renewal)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/standing.rs
@@ -0,0 +1,218 @@
+//! How this server stands in its fleet.
+//!
+//! A member is *reached* when it was heard directly of late and says that it heard us of late: news by way of others
+//! does not count, so that behind a bridge or a one-way cut both ends say the same. The rule is then one of counting;
+//! the rest is about not changing one's mind too often.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Timing;
+use crate::Micros;
+
+/// How this server stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// Just started, or just stood still: nothing is believed before it has been heard again.
+    Unsure,
+    /// Nobody else is reached.
+    Alone,
+    /// Half of the roster or less is reached, this server included.
+    Minority,
+    /// More than half is.
+    Majority,
+    /// Everyone is, but for those who left.
+    Whole,
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Standing::Unsure => "unsure",
+            Standing::Alone => "alone",
+            Standing::Minority => "minority",
+            Standing::Majority => "majority",
+            Standing::Whole => "whole",
+        })
+    }
+}
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Count {
+    /// Members that the operator named, this server included.
+    pub roster: usize,
+    /// Of these, how many are reached, this server included.
+    pub reached: usize,
+    /// Of these, how many said that they leave, and are gone.
+    pub left: usize,
+}
+
+impl Count {
+    /// The standing that this would be, taken by itself. A majority is one of all that were named: those who left
+    /// may come back.
+    pub fn standing(self) -> Standing {
+        let most = 2 * self.reached > self.roster;
+        match self {
+            Count { roster, reached, left } if reached + left >= roster && most => Standing::Whole,
+            _ if most => Standing::Majority,
+            Count { reached: 0 | 1, .. } => Standing::Alone,
+            _ => Standing::Minority,
+        }
+    }
+}
+
+/// The standing over time. A fall is taken up at once, but for [`Timing::damp`]; a rise once it has held for
+/// [`Timing::rise`], longer after each fall that follows a rise too soon.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    timing: Timing,
+    standing: Standing,
+    since: Micros,
+    /// What it would be now, and since when it would be that or better.
+    wanted: (Standing, Micros),
+    /// Rises that were undone too soon, up to three.
+    flaps: u32,
+    /// Nothing is believed before then, unless everyone was heard.
+    unsure_until: Micros,
+}
+
+impl Keeper {
+    /// Unsure for so long.
+    pub fn new(now: Micros, timing: Timing, settle: Micros) -> Keeper {
+        Keeper {
+            timing,
+            standing: Standing::Unsure,
+            since: now,
+            wanted: (Standing::Unsure, now),
+            flaps: 0,
+            unsure_until: now + settle,
+        }
+    }
+
+    /// The standing, and since when.
+    pub fn get(&self) -> (Standing, Micros) {
+        (self.standing, self.since)
+    }
+
+    /// Nothing that was believed before counts: unsure, at once.
+    pub fn distrust(&mut self, now: Micros, settle: Micros) -> Option<(Standing, Standing)> {
+        self.unsure_until = now + settle;
+        self.wanted = (Standing::Unsure, now);
+        self.take_up(now, Standing::Unsure)
+    }
+
+    /// How long a better standing must hold now.
+    pub fn rise(&self) -> Micros {
+        self.timing.rise << self.flaps
+    }
+
+    /// Takes a count in; tells a change, from and to.
+    pub fn count(&mut self, now: Micros, count: Count) -> Option<(Standing, Standing)> {
+        let wanted = count.standing();
+        if now.saturating_sub(self.since) >= self.timing.calm {
+            self.flaps = 0;
+        }
+        if wanted != self.wanted.0 {
+            // From a better one to a worse one that still is a rise, the time goes on.
+            let goes_on = wanted > self.standing && wanted < self.wanted.0;
+            self.wanted = (wanted, if goes_on { self.wanted.1 } else { now });
+        }
+        if self.standing == Standing::Unsure {
+            let settled = now >= self.unsure_until || wanted == Standing::Whole;
+            return if settled { self.take_up(now, wanted) } else { None };
+        }
+        let apart = now.saturating_sub(self.since);
+        let holds = now.saturating_sub(self.wanted.1);
+        if wanted < self.standing && apart >= self.timing.damp {
+            self.flaps = (self.flaps + 1).min(3);
+            return self.take_up(now, wanted);
+        }
+        if wanted > self.standing && apart >= self.timing.damp && holds >= self.rise() {
+            return self.take_up(now, wanted);
+        }
+        None
+    }
+
+    fn take_up(&mut self, now: Micros, standing: Standing) -> Option<(Standing, Standing)> {
+        let before = std::mem::replace(&mut self.standing, standing);
+        if before == standing {
+            return None;
+        }
+        self.since = now;
+        Some((before, standing))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn count(roster: usize, reached: usize, left: usize) -> Count {
+        Count { roster, reached, left }
+    }
+
+    #[test]
+    fn the_rule_is_one_of_counting() {
+        let cases = [
+            (count(1, 1, 0), Standing::Whole),
+            (count(5, 5, 0), Standing::Whole),
+            (count(5, 3, 2), Standing::Whole),
+            (count(5, 2, 3), Standing::Minority),
+            (count(5, 4, 0), Standing::Majority),
+            (count(5, 3, 0), Standing::Majority),
+            (count(4, 2, 0), Standing::Minority),
+            (count(5, 2, 0), Standing::Minority),
+            (count(5, 1, 0), Standing::Alone),
+            (count(2, 1, 1), Standing::Alone),
+        ];
+        for (count, wanted) in cases {
+            assert_eq!(count.standing(), wanted, "{count:?}");
+        }
+    }
+
+    #[test]
+    fn it_falls_at_once_rises_late_and_is_unsure_after_a_standstill() {
+        let timing = Timing::default();
+        let mut keeper = Keeper::new(0, timing, 1_200_000);
+        assert_eq!(keeper.count(100_000, count(3, 2, 0)), None);
+        assert_eq!(keeper.count(1_200_000, count(3, 2, 0)), Some((Standing::Unsure, Standing::Majority)));
+        // Better: only once it has held.
+        assert_eq!(keeper.count(2_300_000, count(3, 3, 0)), None);
+        assert_eq!(keeper.count(2_800_000, count(3, 3, 0)), Some((Standing::Majority, Standing::Whole)));
+        // Worse: at once, but for the damping.
+        assert_eq!(keeper.count(2_900_000, count(3, 1, 0)), None);
+        assert_eq!(keeper.count(3_800_000, count(3, 1, 0)), Some((Standing::Whole, Standing::Alone)));
+        assert_eq!(keeper.rise(), 2 * timing.rise);
+        assert_eq!(keeper.distrust(3_900_000, 1_200_000), Some((Standing::Alone, Standing::Unsure)));
+        assert_eq!(keeper.count(4_000_000, count(3, 2, 0)), None);
+        // Everyone was heard: nothing to wait for.
+        assert_eq!(keeper.count(4_100_000, count(3, 3, 0)), Some((Standing::Unsure, Standing::Whole)));
+    }
+
+    proptest! {
+        /// Whatever is counted, changes are no closer than the damping, and it never claims more than was counted
+        /// within that time.
+        #[test]
+        fn it_never_flaps_faster_than_its_damping(counts in prop::collection::vec((0u64..700, 1usize..=5), 1..200)) {
+            let timing = Timing::default();
+            let mut keeper = Keeper::new(0, timing, 1_200_000);
+            let (mut now, mut last) = (0, None);
+            for (ms, reached) in counts {
+                now += ms * 1_000;
+                if keeper.count(now, count(5, reached, 0)).is_some() {
+                    if let Some(last) = last {
+                        prop_assert!(now - last >= timing.damp);
+                    }
+                    last = Some(now);
+                }
+                let held = now - keeper.get().1 >= timing.damp;
+                if held && keeper.get().0 != Standing::Unsure {
+                    prop_assert!(keeper.get().0 <= count(5, reached, 0).standing());
+                }
+            }
+        }
+    }
+}
