--- /dev/null
+++ b/crates/allowance/src/config.rs
@@ -0,0 +1,138 @@
+//! What is shared, by whom, and by which times.
+
+use crate::{Micros, Name};
+
+const MS: Micros = 1_000;
+
+/// One allowance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Calls at once that the dependency survives from all servers.
+    pub whole: u32,
+    /// Everyone who has a part, this server included.
+    pub roster: Vec<Name>,
+    /// This server.
+    pub me: Name,
+    /// How long a loan lasts.
+    pub loan: Micros,
+    /// The longest time that a call may state.
+    pub call: Micros,
+    /// How long a call may be on its way before the dependency begins to count its time.
+    pub delivery: Micros,
+    /// How far the rate of a server's clock may be off, as a share.
+    pub drift: f64,
+}
+
+/// A loan is long beside the time to ask for it (some ms) and short beside an outage.
+const LOAN: Micros = 2_000 * MS;
+/// Calls of a run have about a second at most on the sites that we know.
+const CALL: Micros = 1_000 * MS;
+/// On its way: a connection, a full send queue, a reader that has to wait for a core.
+const DELIVERY: Micros = 50 * MS;
+/// Quartz is within 0.02 %, a guest whose clock is slewed by its host within 0.05 %; this is twenty times that.
+const DRIFT: f64 = 0.01;
+
+impl Config {
+    /// An allowance with the usual times.
+    pub fn new(whole: u32, roster: &[&str], me: &str) -> Config {
+        let roster = roster.iter().map(|name| Name::from(*name)).collect();
+        Config { whole, roster, me: me.into(), loan: LOAN, call: CALL, delivery: DELIVERY, drift: DRIFT }
+    }
+
+    /// This server's part.
+    pub fn part(&self) -> u32 {
+        parts(self.whole, &self.roster)
+            .into_iter()
+            .find(|(name, _)| *name == self.me)
+            .map_or(0, |(_, part)| part)
+    }
+
+    /// A time as the holder of what it bounds counts it on a clock that may run fast.
+    pub(crate) fn longer(&self, span: Micros) -> Micros {
+        (span as f64 * (1.0 + 2.0 * self.drift)).ceil() as Micros
+    }
+
+    /// The same for the one who must have stopped by then, on a clock that may run slow.
+    pub(crate) fn shorter(&self, span: Micros) -> Micros {
+        (span as f64 * (1.0 - 2.0 * self.drift)) as Micros
+    }
+
+    /// What an earlier process under this name may still be using: calls that it began, and its loans with the calls
+    /// that they serve, which end before they do.
+    pub fn quiet(&self) -> Micros {
+        self.longer(self.loan + self.call + 2 * self.delivery)
+    }
+
+    /// By which two servers can tell whether they go by the same parts.
+    pub fn basis(&self) -> String {
+        let mut roster: Vec<&str> = self.roster.iter().map(|name| &**name).collect();
+        roster.sort_unstable();
+        format!("{} {:?} {} {} {} {}", self.whole, roster, self.loan, self.call, self.delivery, self.drift)
+    }
+
+    /// All that is wrong with it.
+    pub fn mistakes(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let sorted: std::collections::BTreeSet<&Name> = self.roster.iter().collect();
+        if self.roster.is_empty() || sorted.len() < self.roster.len() || !sorted.contains(&self.me) {
+            found.push("a roster names everyone once, this server too".to_owned());
+        }
+        if (self.whole as usize) < self.roster.len() {
+            let (whole, all) = (self.whole, self.roster.len());
+            found.push(format!("{whole} calls over {all} servers: each needs a part of one call at least"));
+        }
+        let times = [self.loan, self.call];
+        if times.iter().any(|time| !(20 * MS..=60_000 * MS).contains(time)) {
+            found.push("loans and calls last from 20 ms to a minute".to_owned());
+        }
+        if self.loan < self.call / 4 || self.delivery > self.loan / 4 {
+            found.push(
+                "a loan lasts for a quarter of a call at least, and for four times a delivery".to_owned(),
+            );
+        }
+        if !(0.0..=0.1).contains(&self.drift) {
+            found.push("clocks drift by a share from 0 to 0.1".to_owned());
+        }
+        found
+    }
+}
+
+/// Everyone's part: the same for all, the rest by the order of names.
+pub fn parts(whole: u32, roster: &[Name]) -> Vec<(Name, u32)> {
+    let mut names: Vec<Name> = roster.to_vec();
+    names.sort();
+    let count = names.len().max(1) as u32;
+    let (each, rest) = (whole / count, whole % count);
+    names.into_iter().zip(0..).map(|(name, place)| (name, each + u32::from(place < rest))).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_add_up_to_the_whole_and_do_not_depend_on_the_order() {
+        for whole in 3..40 {
+            let (one, other) = (["c", "a", "b"].map(Name::from), ["b", "c", "a"].map(Name::from));
+            assert_eq!(parts(whole, &one), parts(whole, &other));
+            assert_eq!(parts(whole, &one).iter().map(|(_, part)| part).sum::<u32>(), whole);
+        }
+    }
+
+    #[test]
+    fn what_makes_no_sense_is_told() {
+        let sound = Config::new(10, &["a", "b"], "a");
+        assert!(sound.mistakes().is_empty());
+        let cases = [
+            Config::new(10, &["a", "a"], "a"),
+            Config::new(10, &["a", "b"], "c"),
+            Config::new(1, &["a", "b"], "a"),
+            Config { loan: 1, ..sound.clone() },
+            Config { delivery: 1_900_000, ..sound.clone() },
+            Config { drift: f64::NAN, ..sound.clone() },
+        ];
+        for config in cases {
+            assert!(!config.mistakes().is_empty(), "{config:?}");
+        }
+    }
+}
