--- a/crates/dependencies/src/config.rs
+++ b/crates/dependencies/src/config.rs
@@ -36,7 +36,8 @@
     /// Calls in flight at one endpoint.
     pub endpoint_limit: Bounds,
     /// Calls at once that the dependency survives from all servers, and the number of those servers: one server's
-    /// share is a ceiling on its limit.
+    /// share is a ceiling on its limit. One server stands for all where they share it by loans, which
+    /// [`crate::Engine::cap`] brings in.
     pub survives: Option<(f64, u32)>,
     /// When calls stop for a while; never without.
     pub breaker: Option<Breaker>,
--- a/crates/dependencies/src/engine.rs
+++ b/crates/dependencies/src/engine.rs
@@ -15,7 +15,7 @@
 use crate::kept::{Kept, Subject};
 use crate::plan::{Doing, Plan, Run, Spec, SpecCall, Timer};
 use crate::retry;
-use crate::service::{Service, ServiceView};
+use crate::service::{Demand, Service, ServiceView};
 use crate::{AttemptId, PlanId};
 
 /// Plans that may be under way: more than any server survives.
@@ -177,6 +177,24 @@
         self.specs.contains_key(class)
     }
 
+    /// What is asked of a dependency now.
+    pub fn demand(&self, dependency: &str) -> Demand {
+        let service = self.services.iter().find(|s| *s.name == *dependency && !s.retired);
+        service.map(Service::demand).unwrap_or_default()
+    }
+
+    /// From now on no more calls than this may be in flight at a dependency, whatever its limit has learned. Places
+    /// that this frees are given at once.
+    pub fn cap(&mut self, now: Micros, dependency: &str, most: usize, out: &mut Vec<Action>) {
+        let Some(place) = self.services.iter().position(|s| *s.name == *dependency && !s.retired) else {
+            return;
+        };
+        if self.services[place].limit.set_cap(most) {
+            self.freed.insert(place);
+            self.settle(now, out);
+        }
+    }
+
     /// A run asks for its calls. Without a plan for its class nothing happens.
     pub fn begin(&mut self, now: Micros, ask: &Ask, out: &mut Vec<Action>) {
         self.give_up(now, ask.plan, out);
--- a/crates/dependencies/src/lib.rs
+++ b/crates/dependencies/src/lib.rs
@@ -55,7 +55,7 @@
 mod service;
 
 pub use engine::{Action, Ask, Counts, Engine};
-pub use service::ServiceView;
+pub use service::{Demand, ServiceView};
 
 /// What a host calls a plan; each under way has a name of its own.
 pub type PlanId = u64;
--- a/crates/dependencies/src/limit.rs
+++ b/crates/dependencies/src/limit.rs
@@ -59,6 +59,8 @@
 #[derive(Clone, Debug)]
 pub struct Limit {
     bounds: Bounds,
+    /// What is allowed from outside, whatever was learned: a part of an allowance that several servers share.
+    cap: usize,
     value: f64,
     in_flight: usize,
     typical: Option<f64>,
@@ -73,6 +75,7 @@
     pub fn new(bounds: Bounds) -> Limit {
         Limit {
             bounds,
+            cap: usize::MAX,
             value: bounds.start.clamp(bounds.least, bounds.most) as f64,
             in_flight: 0,
             typical: None,
@@ -96,6 +99,12 @@
         self.value as usize
     }
 
+    /// No more calls than this may be in flight from now on; whether that is more than before.
+    pub fn set_cap(&mut self, cap: usize) -> bool {
+        let before = std::mem::replace(&mut self.cap, cap);
+        cap > before
+    }
+
     /// Calls that are.
     pub fn in_flight(&self) -> usize {
         self.in_flight
@@ -103,7 +112,7 @@
 
     /// Whether one more may start.
     pub fn has_place(&self) -> bool {
-        self.in_flight < self.value()
+        self.in_flight < self.value().min(self.cap)
     }
 
     /// Its typical time, 0 while unknown.
--- a/crates/dependencies/src/service.rs
+++ b/crates/dependencies/src/service.rs
@@ -41,6 +41,17 @@
     pub endpoints: Vec<EndpointView>,
 }
 
+/// What is asked of a dependency now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Calls that wait for a place.
+    pub waiting: usize,
+    /// The highest level among them.
+    pub level: u16,
+    /// Calls in flight.
+    pub in_flight: usize,
+}
+
 #[derive(Debug)]
 pub(crate) struct Service {
     pub name: Rc<str>,
@@ -91,6 +102,12 @@
         self.config = config;
     }
 
+    /// Calls that wait for a place, the highest level among them, and calls in flight.
+    pub fn demand(&self) -> Demand {
+        let level = self.waiting.first().map_or(0, |(level, ..)| level.0);
+        Demand { waiting: self.waiting.len(), level, in_flight: self.limit.in_flight() }
+    }
+
     /// Whether nothing of it is under way.
     pub fn is_idle(&self) -> bool {
         self.limit.in_flight() == 0 && self.waiting.is_empty()
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -240,6 +240,7 @@
         self.disagreements.retain(|name, _| self.links.contains_key(name));
         self.config.peers = config.peers;
         self.swim.set(&self.config);
+        self.view.0.clear();
         self.link_roster(now);
         self.refresh(now);
     }
@@ -392,6 +393,7 @@
         let id = Id { name: self.config.name.clone(), boot, renewal: 0 };
         let came = self.swim.rename(now, id);
         self.tell(Told::Renewed(boot));
+        self.view.0.clear();
         self.links.values_mut().for_each(|link| *link = Link::new(link.name.clone(), link.named));
         self.carry(now, came);
     }
@@ -499,6 +501,8 @@
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
             self.beat(now);
+            // Each look passes over all members: in large fleets it comes less often.
+            self.look_at += LOOK_EVERY * (self.links.len() / 64) as Micros;
             self.refresh(now);
             self.tell_refused(now);
         }
@@ -566,6 +570,7 @@
 
     /// Holds members for what they are now, and counts who is reached.
     fn refresh(&mut self, now: Micros) {
+        let mut changed = self.view.0.is_empty() || self.view.0.len() != self.config.roster();
         for member in self.swim.members() {
             let name = &member.id().name;
             if !self.links.contains_key(name) {
@@ -573,6 +578,7 @@
             }
             let known = self.known.entry(name.clone()).or_insert_with(|| Known::new(now));
             let id = member.id();
+            changed |= known.boot != id.boot;
             (known.boot, known.incarnation, known.renewal) = (id.boot, member.incarnation(), id.renewal);
             let leaves = known.leaving == Some(id.boot);
             let (to, cause) = match member.state() {
@@ -585,25 +591,15 @@
                 foca::State::Down => (MemberState::Failed, "a suspicion was not refuted in time"),
             };
             if known.state != to {
+                changed = true;
                 let from = known.state;
                 known.change(now, to, cause.to_owned());
                 let line = Told::Member { name: name.clone(), from, to, cause: cause.to_owned() };
                 bounded(&mut self.told, line);
             }
         }
-        let row = |name: &Name, boot: u64, there: bool| Row {
-            name: name.clone(),
-            boot: if there { boot } else { 0 },
-            there,
-        };
-        let mut rows = vec![row(&self.config.name, self.boot(), true)];
-        rows.extend(self.config.peers.iter().map(|peer| {
-            let known = self.known.get(&peer.name);
-            row(&peer.name, known.map_or(0, |k| k.boot), known.is_some_and(|k| k.state.is_there()))
-        }));
-        rows.sort_by(|a, b| a.name.cmp(&b.name));
-        if rows != self.view.0 {
-            self.view = (rows.clone(), digest(&rows));
+        if changed {
+            self.see();
         }
         let count = self.count(now);
         if self.silenced.is_some() {
@@ -617,6 +613,23 @@
         }
     }
 
+    /// Writes down the view.
+    fn see(&mut self) {
+        let row = |name: &Name, boot: u64, there: bool| Row {
+            name: name.clone(),
+            boot: if there { boot } else { 0 },
+            there,
+        };
+        let mut rows = vec![row(&self.config.name, self.boot(), true)];
+        rows.extend(self.config.peers.iter().map(|peer| {
+            let known = self.known.get(&peer.name);
+            row(&peer.name, known.map_or(0, |k| k.boot), known.is_some_and(|k| k.state.is_there()))
+        }));
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        let digest = digest(&rows);
+        self.view = (rows, digest);
+    }
+
     fn count(&self, now: Micros) -> Count {
         let stale = self.config.stale();
         let named = || self.links.values().filter(|link| link.named);
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -106,8 +106,10 @@
     pub program: String,
     /// Digest of the platform's configuration.
     pub config: u64,
-    /// Digest of the operator's file.
+    /// Digest of the operator's file, but for addresses.
     pub operator: u64,
+    /// Digest of what allowances that are shared go by; 0 where none is.
+    pub shares: u64,
 }
 
 /// One line of a view.
@@ -209,6 +211,13 @@
     }
 }
 
+/// A digest by which two servers see whether they have the same.
+pub fn digest(text: &str) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/operator/src/dependencies.rs
+++ b/crates/operator/src/dependencies.rs
@@ -68,7 +68,7 @@
     for mistake in config.mistakes() {
         reader.fault(places.of(mistake.at), mistake.what);
     }
-    Operator { dependencies: config, services }
+    Operator { dependencies: config, services, fleet: None }
 }
 
 fn kept(reader: &mut Reader, node: &KdlNode) -> KeptBounds {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod dependencies;
 pub mod fault;
+pub mod fleet;
 mod node;
 
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
 use umberloom_dependencies::config::Config;
 
 pub use fault::{Fault, Faults};
+pub use fleet::Fleet;
 
 /// The longest file that is read.
 const LONGEST: u64 = 1 << 20;
@@ -42,6 +44,8 @@
     pub dependencies: Config,
     /// How each dependency is reached, in the same order.
     pub services: Vec<Service>,
+    /// The fleet that this server belongs to, if it knows one.
+    pub fleet: Option<Fleet>,
 }
 
 /// The endpoint that stands for the records service of the platform's configuration.
@@ -76,8 +80,17 @@
     }
 }
 
-/// Reads the file at `path`. `classes`, where they are known, are those that plans may be for.
-pub fn load(path: &Path, classes: Option<&[String]>) -> Result<Operator, Faults> {
+/// What the platform's configuration says that a file must fit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Known<'a> {
+    /// The classes that plans may be for.
+    pub classes: Option<&'a [String]>,
+    /// This server's name.
+    pub name: Option<&'a str>,
+}
+
+/// Reads the file at `path`, against what is known of the platform's configuration.
+pub fn load(path: &Path, known: Known) -> Result<Operator, Faults> {
     let file = path.display().to_string();
     let fail = |what: String| Faults { file: file.clone(), all: vec![Fault { line: 1, column: 1, what }] };
     let size = std::fs::metadata(path).map_err(|e| fail(format!("can't be read: {e}")))?.len();
@@ -85,11 +98,16 @@
         return Err(fail(format!("found {size} bytes, expected {LONGEST} at most")));
     }
     let text = std::fs::read_to_string(path).map_err(|e| fail(format!("can't be read: {e}")))?;
-    parse(&file, &text, classes)
+    parse_known(&file, &text, known)
 }
 
 /// Reads a text; `file` is how faults name it.
 pub fn parse(file: &str, text: &str, classes: Option<&[String]>) -> Result<Operator, Faults> {
+    parse_known(file, text, Known { classes, name: None })
+}
+
+/// The same against all that is known.
+pub fn parse_known(file: &str, text: &str, known: Known) -> Result<Operator, Faults> {
     let mut reader = node::Reader::new(text);
     let document = match KdlDocument::parse_v2(text) {
         Ok(document) => document,
@@ -102,8 +120,9 @@
             return Err(Faults { file: file.to_owned(), all: reader.finish() });
         }
     };
-    reader.only(&document, &["kept", "dependency", "plan"]);
-    let operator = dependencies::read(&mut reader, &document, classes);
+    reader.only(&document, &["kept", "dependency", "plan", "fleet"]);
+    let mut operator = dependencies::read(&mut reader, &document, known.classes);
+    operator.fleet = fleet::read(&mut reader, &document, known.name, &operator.dependencies);
     let all = reader.finish();
     if all.is_empty() {
         Ok(operator)
--- a/crates/operator/src/node.rs
+++ b/crates/operator/src/node.rs
@@ -23,6 +23,11 @@
         self.faults.push(Fault { line, column, what: what.into() });
     }
 
+    /// Line and column of this byte.
+    pub fn place(&self, offset: usize) -> (usize, usize) {
+        place(self.text, offset)
+    }
+
     /// All of them in the order of the file.
     pub fn finish(mut self) -> Vec<Fault> {
         self.faults.sort();
--- a/crates/operator/src/tests.rs
+++ b/crates/operator/src/tests.rs
@@ -9,6 +9,63 @@
     }
 }
 
+/// A fleet of three, with an allowance that they share and one that is cut as before.
+const FLEET: &str = r#"
+dependency "billing" { endpoints "127.0.0.1:1"; survives calls=40; }
+dependency "notes" { endpoints "127.0.0.1:2"; survives calls=40 servers=4; }
+fleet "desks" {
+    listen "127.0.0.1:7400"
+    secret "s"
+    zone "west"
+    peer "n2" address="127.0.0.1:7402" zone="west"
+    peer "n3" address="127.0.0.1:7403"
+    timing probe-ms=250 beat-ms=200
+    loans loan-ms=1500 call-ms=800
+}
+"#;
+
+#[test]
+fn a_fleet_says_who_belongs_to_it_and_what_is_shared() {
+    let known = Known { classes: None, name: Some("n1") };
+    let operator = parse_known("f", FLEET, known).unwrap_or_else(|faults| panic!("{faults}"));
+    let fleet = operator.fleet.expect("a fleet");
+    assert_eq!((&*fleet.membership.name, &*fleet.membership.zone), ("n1", "west"));
+    assert_eq!(fleet.addresses[1], "127.0.0.1:7403".parse().expect("an address"));
+    assert_eq!(fleet.shared, [("billing".to_owned(), 40)]);
+    assert_eq!((fleet.membership.timing.probe, fleet.loans.call), (250_000, 800_000));
+    assert_eq!((fleet.allowance(40).part(), operator.dependencies.dependencies[1].ceiling()), (14, 10));
+    // The server's own name among its peers is known only with the configuration.
+    let mine = Known { classes: None, name: Some("n2") };
+    let faults = parse_known("f", FLEET, mine).expect_err("its own name").to_string();
+    assert!(faults.contains("f:8:5: the peer \"n2\" is this server itself"), "{faults}");
+}
+
+#[test]
+fn every_mistake_in_a_fleet_is_told_at_its_place() {
+    let cases = [
+        ("listen \"127.0.0.1:7400\"", "", "f:4:1: found a fleet without \"listen\""),
+        ("127.0.0.1:7400", "localhost:1", "f:5:5: found \"localhost:1\", expected an address and port"),
+        ("127.0.0.1:7402", "127.0.0.1:7400", "f:8:5: found 127.0.0.1:7400 a second time"),
+        ("peer \"n3\"", "peer \"n2\"", "f:9:5: a second peer \"n2\""),
+        ("address=\"127.0.0.1:7403\"", "", "f:9:5: found a peer without an address"),
+        ("address=\"127.0.0.1:7403\"", "address=\"127.0.0.1:7403\" port=1", "found port, expected one of"),
+        ("probe-ms=250", "probe-ms=5", "f:4:1: probe of 5 ms, at least 20"),
+        ("probe-ms=250", "tick-ms=5", "f:10:12: found tick-ms, expected one of"),
+        ("loan-ms=1500", "loan-ms=90000", "f:11:11: found loan-ms=90000"),
+        ("loan-ms=1500", "loan-ms=100", "f:2:49: \"billing\": a loan lasts for a quarter of a call"),
+        ("calls=40; }\ndependency", "calls=2; }\ndependency", "f:2:49: \"billing\": 2 calls over 3 servers"),
+        ("secret \"s\"", "secret 7", "f:6:12: found 7, expected a text"),
+        ("fleet \"desks\"", "fleet", "f:4:1: found \"fleet\" without a name"),
+        ("zone \"west\"\n", "zone \"west\"; zone \"east\"\n", "found a second \"zone\""),
+    ];
+    for (part, other, wanted) in cases {
+        let text = FLEET.replacen(part, other, 1);
+        assert_ne!(text, FLEET, "{part}");
+        let found = faults(&text);
+        assert!(found.iter().any(|f| f.contains(wanted)), "{text}\n{found:#?}\nwanted {wanted}");
+    }
+}
+
 const SOUND: &str = "dependency \"a\" { endpoints \"127.0.0.1:1\"; }\n";
 
 #[test]
@@ -133,6 +190,6 @@
 
 #[test]
 fn a_file_that_is_not_there_is_told() {
-    let faults = load(Path::new("no/such/file.kdl"), None).expect_err("no file");
+    let faults = load(Path::new("no/such/file.kdl"), Known::default()).expect_err("no file");
     assert!(faults.to_string().starts_with("no/such/file.kdl:1:1: can't be read"), "{faults}");
 }
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,401 @@
+//! A fleet of server processes, the relays between them and what they share.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use serde_json::{json, Value};
+use umberloom_standins::dependency::{most_in_use, Behaviour, Span};
+use umberloom_standins::Dependency;
+
+use crate::check;
+use crate::history::History;
+use crate::relay::{Direction, Faults, Relay};
+use crate::server::{own_host, Server, PATIENCE};
+use crate::traffic::{Asked, Traffic};
+
+/// What a fleet is to be.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program that serves.
+    pub program: PathBuf,
+    /// From 2 to 24, or one for a server without others.
+    pub servers: usize,
+    /// Calls at once that the shared dependency survives.
+    pub whole: u32,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// The node `timing` of the operator's file: short times, so that tests are.
+    pub timing: String,
+    /// The node `loans`.
+    pub loans: String,
+    /// How long the shared dependency takes, as a median in milliseconds.
+    pub takes_ms: f64,
+    /// Without it every server is on its own, with a cut part of what is shared.
+    pub fleet: bool,
+    /// With it nothing lends: each server has its own part of the whole.
+    pub cut_parts: bool,
+}
+
+impl Options {
+    pub fn new(program: &Path, servers: usize) -> Options {
+        Options {
+            program: program.to_owned(),
+            servers,
+            whole: 24,
+            seed: 1,
+            timing: "timing probe-ms=200 suspect-ms=600 beat-ms=150 rise-ms=200 damp-ms=500 disagree-ms=1500"
+                .to_owned(),
+            loans: "loans loan-ms=600 call-ms=300 delivery-ms=100".to_owned(),
+            takes_ms: 20.0,
+            fleet: true,
+            cut_parts: false,
+        }
+    }
+}
+
+/// All of it. What it started ends with it.
+pub struct Fleet {
+    pub options: Options,
+    pub history: History,
+    pub servers: Vec<Server>,
+    pub shared: Dependency,
+    directions: BTreeMap<(usize, usize), Direction>,
+    relays: BTreeMap<(usize, usize), Relay>,
+    /// From each server to the shared dependency.
+    to_shared: Vec<(Relay, Direction)>,
+    pub traffic: Option<Traffic>,
+    /// Whom each server is told of; everyone, unless a test says otherwise.
+    pub told_of: Vec<Vec<usize>>,
+    folder: PathBuf,
+    // Ends the relays with the fleet.
+    _stop: async_stop::Stop,
+}
+
+mod async_stop {
+    use std::sync::Arc;
+    use std::thread;
+
+    use async_executor::Executor;
+    use futures_lite::future;
+
+    /// A thread that drives relays until this is dropped.
+    pub struct Stop {
+        over: std::sync::mpsc::Sender<()>,
+        thread: Option<thread::JoinHandle<()>>,
+    }
+
+    impl Stop {
+        pub fn start(executor: Arc<Executor<'static>>) -> Stop {
+            let (over, told) = std::sync::mpsc::channel::<()>();
+            let thread = thread::spawn(move || {
+                let end = async {
+                    loop {
+                        async_io::Timer::after(std::time::Duration::from_millis(20)).await;
+                        if matches!(
+                            told.try_recv(),
+                            Err(std::sync::mpsc::TryRecvError::Disconnected) | Ok(())
+                        ) {
+                            return;
+                        }
+                    }
+                };
+                async_io::block_on(executor.run(future::or(end, future::pending())));
+            });
+            Stop { over, thread: Some(thread) }
+        }
+    }
+
+    impl Drop for Stop {
+        fn drop(&mut self) {
+            let _ = self.over.send(());
+            self.thread.take().map(thread::JoinHandle::join);
+        }
+    }
+}
+
+impl Fleet {
+    /// Makes everything ready; no server runs yet.
+    pub fn prepare(options: Options) -> std::io::Result<Fleet> {
+        let folder = std::env::temp_dir().join(format!(
+            "umberloom-rig-{}-{}",
+            std::process::id(),
+            own_host().octets()[1]
+        ));
+        std::fs::create_dir_all(&folder)?;
+        let history = History::default();
+        let executor = Arc::new(Executor::new());
+        let names = (1..=options.servers).map(|n| format!("n{n}"));
+        let servers: std::io::Result<Vec<Server>> =
+            names.map(|name| Server::new(&name, &options.program, &folder, history.clone())).collect();
+        let servers = servers?;
+        let behaviour =
+            Behaviour::Answer { body: b"billed".to_vec(), median_ms: options.takes_ms, sigma: 0.3 };
+        let shared = Dependency::start(behaviour);
+        let pairs = || {
+            (0..servers.len()).flat_map(|a| (0..servers.len()).map(move |b| (a, b))).filter(|(a, b)| a != b)
+        };
+        let seed = |a: usize, b: usize| options.seed.wrapping_mul(1_000).wrapping_add((a * 64 + b) as u64);
+        let directions: BTreeMap<_, _> = pairs().map(|(a, b)| ((a, b), Direction::new(seed(a, b)))).collect();
+        let mut relays = BTreeMap::new();
+        for (a, b) in pairs().filter(|_| options.fleet) {
+            let both = (directions[&(a, b)].clone(), directions[&(b, a)].clone());
+            let relay = Relay::start(&executor, servers[a].host, servers[a].fleet, servers[b].fleet, both)?;
+            relays.insert((a, b), relay);
+        }
+        let mut to_shared = Vec::new();
+        for server in &servers {
+            let direction = Direction::new(options.seed);
+            let both = (direction.clone(), Direction::new(options.seed));
+            to_shared
+                .push((Relay::start(&executor, server.host, server.fleet, shared.address, both)?, direction));
+        }
+        let everyone = (0..servers.len()).map(|a| (0..servers.len()).filter(|b| *b != a).collect()).collect();
+        let fleet = Fleet {
+            options,
+            history,
+            servers,
+            shared,
+            directions,
+            relays,
+            to_shared,
+            traffic: None,
+            told_of: everyone,
+            folder,
+            _stop: async_stop::Stop::start(executor),
+        };
+        for n in 0..fleet.servers.len() {
+            fleet.servers[n].write_operator(&fleet.operator(n))?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts all servers and waits until they are well.
+    pub fn start(options: Options) -> Result<Fleet, String> {
+        let mut fleet = Fleet::prepare(options).map_err(|e| e.to_string())?;
+        for n in 0..fleet.servers.len() {
+            fleet.servers[n].start().map_err(|e| e.to_string())?;
+        }
+        for n in 0..fleet.servers.len() {
+            fleet.servers[n].wait_until_well()?;
+        }
+        Ok(fleet)
+    }
+
+    /// The same, and waits until everyone stands whole and uses its part.
+    pub fn whole(options: Options) -> Result<Fleet, String> {
+        let fleet = Fleet::start(options)?;
+        fleet.until_all("whole")?;
+        fleet.until("parts in use", |fleet| {
+            let part =
+                |n: usize| fleet.view(n).is_ok_and(|v| v["allowances"][0][1]["part"].as_u64() > Some(0));
+            (0..fleet.servers.len()).all(part)
+        })?;
+        Ok(fleet)
+    }
+
+    /// The operator's file of a server.
+    pub fn operator(&self, n: usize) -> String {
+        let (shared, whole, servers) = (self.to_shared[n].0.address, self.options.whole, self.servers.len());
+        let survives = match (self.options.fleet, self.options.cut_parts) {
+            (true, false) => format!("survives calls={whole}"),
+            _ => format!("survives calls={whole} servers={servers}"),
+        };
+        let mut text = format!(
+            "dependency \"billing\" {{\n endpoints \"{shared}\"\n path \"/billing\"\n limit start=64 least=1 \
+             most=256\n endpoint-limit start=64 least=1 most=256\n retry most=0 share=0\n no-breaker\n route \
+             failures=1000 lag=100\n {survives}\n}}\nplan \"book-room\" {{\n stage {{ needs \"billing\"; }}\n}}\n"
+        );
+        if self.options.fleet {
+            let _ = write!(
+                text,
+                "fleet \"rig\" {{\n listen \"{}\"\n secret \"between us\"\n zone \"z{}\"\n {}\n {}\n",
+                self.servers[n].fleet,
+                n % 3,
+                self.options.timing,
+                self.options.loans
+            );
+            for other in &self.told_of[n] {
+                let (name, address) = (&self.servers[*other].name, self.relays[&(n, *other)].address);
+                let _ = writeln!(text, " peer \"{name}\" address=\"{address}\" zone=\"z{}\"", other % 3);
+            }
+            text.push_str("}\n");
+        }
+        text
+    }
+
+    /// Writes a server's file anew, as it is to be now, and says so.
+    pub fn reload(&self, n: usize) {
+        let _ = self.servers[n].write_operator(&self.operator(n));
+        self.servers[n].signal("HUP");
+    }
+
+    /// Callers at every server.
+    pub fn ask(&mut self, callers: usize, gap: Duration) {
+        let servers: Vec<(SocketAddr, _)> = self.servers.iter().map(|s| (s.listen, s.farm.over())).collect();
+        self.traffic = Some(Traffic::start(&servers, callers, gap));
+    }
+
+    /// What one direction is to be like.
+    pub fn set(&self, from: usize, to: usize, faults: Faults) {
+        let what = json!({"from": self.servers[from].name, "to": self.servers[to].name, "faults": format!("{faults:?}")});
+        self.history.note("rig", "fault", what);
+        self.directions[&(from, to)].set(faults);
+    }
+
+    /// What every direction is to be like.
+    pub fn set_all(&self, faults: Faults) {
+        self.history.note("rig", "fault", json!({"all": format!("{faults:?}")}));
+        self.directions.values().for_each(|direction| direction.set(faults));
+    }
+
+    /// Changes one thing of one direction.
+    pub fn change(&self, from: usize, to: usize, change: impl FnOnce(&mut Faults)) {
+        let mut faults = self.directions[&(from, to)].faults();
+        change(&mut faults);
+        self.set(from, to, faults);
+    }
+
+    /// Cuts both directions between servers of different groups; those in no group keep all.
+    pub fn part(&self, groups: &[&[usize]]) {
+        let group = |n: usize| groups.iter().position(|group| group.contains(&n));
+        for (a, b) in self.directions.keys() {
+            if let (Some(x), Some(y)) = (group(*a), group(*b)) {
+                if x != y {
+                    self.change(*a, *b, |faults| faults.cut = true);
+                }
+            }
+        }
+    }
+
+    /// Everything between servers is well.
+    pub fn heal(&self) {
+        self.set_all(Faults::default());
+        self.to_shared.iter().for_each(|(_, direction)| direction.set(Faults::default()));
+    }
+
+    /// The shared dependency can't be reached from this server, or can again.
+    pub fn cut_shared(&self, n: usize, cut: bool) {
+        self.history.note("rig", "fault", json!({"shared_from": self.servers[n].name, "cut": cut}));
+        self.to_shared[n].1.set(Faults { refuse: cut, ..Faults::default() });
+    }
+
+    /// The direction between two servers.
+    pub fn direction(&self, from: usize, to: usize) -> &Direction {
+        &self.directions[&(from, to)]
+    }
+
+    /// The relay from one server to another.
+    pub fn relay(&self, from: usize, to: usize) -> &Relay {
+        &self.relays[&(from, to)]
+    }
+
+    /// What a server says of its fleet.
+    pub fn view(&self, n: usize) -> Result<Value, String> {
+        self.servers[n].ask(&["members"])
+    }
+
+    /// How a server stands, by its own word.
+    pub fn standing(&self, n: usize) -> String {
+        self.view(n).map_or_else(|why| why, |view| view["standing"].as_str().unwrap_or("?").to_lowercase())
+    }
+
+    /// What one server holds another for.
+    pub fn holds(&self, n: usize, other: usize) -> String {
+        let Ok(view) = self.view(n) else { return "?".to_owned() };
+        let name = self.servers[other].name.as_str();
+        let member =
+            view["members"].as_array().and_then(|all| all.iter().find(|m| m["name"] == name).cloned());
+        member.map_or_else(|| "unknown".to_owned(), |m| m["state"].as_str().unwrap_or("?").to_lowercase())
+    }
+
+    /// Waits until something holds; else what was waited for, with everything that was said.
+    pub fn until(&self, what: &str, holds: impl Fn(&Fleet) -> bool) -> Result<(), String> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if holds(self) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(40));
+        }
+        let mut said = String::new();
+        for (n, server) in self.servers.iter().enumerate() {
+            let _ = writeln!(said, "{}: {:?}\n{}", server.name, self.view(n), tail(&server.log()));
+        }
+        Err(format!("waited in vain for {what}\n{said}"))
+    }
+
+    /// Waits until this server stands so.
+    pub fn until_stands(&self, n: usize, standing: &str) -> Result<(), String> {
+        self.until(&format!("{} to stand as {standing}", self.servers[n].name), |fleet| {
+            fleet.standing(n) == standing
+        })
+    }
+
+    /// Waits until every server that runs stands so.
+    pub fn until_all(&self, standing: &str) -> Result<(), String> {
+        let running: Vec<usize> = (0..self.servers.len()).filter(|n| self.servers[*n].is_running()).collect();
+        running.iter().try_for_each(|n| self.until_stands(*n, standing))
+    }
+
+    /// Waits until one server holds another for this.
+    pub fn until_holds(&self, n: usize, other: usize, state: &str) -> Result<(), String> {
+        let what = format!("{} to hold {} for {state}", self.servers[n].name, self.servers[other].name);
+        self.until(&what, |fleet| fleet.holds(n, other) == state.replace(' ', ""))
+    }
+
+    /// The calls that the shared dependency saw.
+    pub fn spans(&self) -> Vec<Span> {
+        self.shared.spans()
+    }
+
+    /// The most calls that were in use there at any instant.
+    pub fn most_in_use(&self) -> usize {
+        most_in_use(&self.spans()).0
+    }
+
+    /// Ends the traffic, reads all logs, and tells every breach of what must always hold.
+    pub fn breaches(&mut self) -> Vec<String> {
+        let asked = self.traffic.take().map(Traffic::finish).unwrap_or_default();
+        self.verdict(&asked)
+    }
+
+    /// The same about requests that are over already.
+    pub fn verdict(&mut self, asked: &[Asked]) -> Vec<String> {
+        let mut found = Vec::new();
+        for server in &mut self.servers {
+            if server.has_crashed() {
+                found.push(format!(
+                    "{} ended although nobody told it to\n{}",
+                    server.name,
+                    tail(&server.log())
+                ));
+            }
+            server.read_log();
+        }
+        let events = self.history.events();
+        found.extend(check::whole(&self.spans(), self.options.whole as usize));
+        found.extend(check::answers(asked));
+        found.extend(check::flapping(&events, 500));
+        found.extend(check::panics(&events));
+        found
+    }
+}
+
+fn tail(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(25)..].join("\n")
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.servers.iter_mut().for_each(Server::kill);
+        self.traffic = None;
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/traffic.rs
@@ -0,0 +1,154 @@
+//! Balancers that ask every server all the while, and note how each request ended.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use umberloom_standins::farm::Over;
+use umberloom_standins::{Balancer, Request};
+
+use crate::history::{lock, now};
+use crate::server::{BUDGETS_MS, PATIENCE};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+    /// Its connection ended before its answer: the server was killed, or told to end.
+    Broken,
+    /// No answer for as long as anything is waited for.
+    Lost,
+    /// An answer that nobody asked for.
+    Extra,
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// The server, by its place.
+    pub server: usize,
+    /// When it was sent, in Unix microseconds, and how long it took.
+    pub at: u64,
+    pub took: Duration,
+    pub end: End,
+}
+
+struct Inside {
+    over: AtomicBool,
+    /// Wait between two requests of one caller, in microseconds, by server.
+    gaps: Vec<AtomicU64>,
+    asked: Mutex<Vec<Asked>>,
+    next: AtomicU64,
+}
+
+/// All callers.
+pub struct Traffic {
+    inside: Arc<Inside>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Traffic {
+    /// So many callers for each of these servers, with a pause between their requests.
+    pub fn start(servers: &[(SocketAddr, Over)], callers: usize, gap: Duration) -> Traffic {
+        let gaps = servers.iter().map(|_| AtomicU64::new(gap.as_micros() as u64)).collect();
+        let inside = Arc::new(Inside {
+            over: AtomicBool::new(false),
+            gaps,
+            asked: Mutex::default(),
+            next: AtomicU64::new(0),
+        });
+        let mut threads = Vec::new();
+        for (server, (listen, over)) in servers.iter().enumerate() {
+            for _ in 0..callers {
+                let (inside, listen, over) = (inside.clone(), *listen, over.clone());
+                threads.push(thread::spawn(move || inside.call(server, listen, &over)));
+            }
+        }
+        Traffic { inside, threads }
+    }
+
+    /// Another pause between requests to one server.
+    pub fn set_gap(&self, server: usize, gap: Duration) {
+        self.inside.gaps[server].store(gap.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Every request so far that is over.
+    pub fn asked(&self) -> Vec<Asked> {
+        lock(&self.inside.asked).clone()
+    }
+
+    /// Requests so far that ended so at a server.
+    pub fn count(&self, server: usize, end: End) -> usize {
+        lock(&self.inside.asked).iter().filter(|a| a.server == server && a.end == end).count()
+    }
+
+    /// Asks no more, and waits for what is open.
+    pub fn finish(mut self) -> Vec<Asked> {
+        self.end();
+        self.asked()
+    }
+
+    fn end(&mut self) {
+        self.inside.over.store(true, Ordering::SeqCst);
+        self.threads.drain(..).for_each(|thread| drop(thread.join()));
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl Inside {
+    fn call(&self, server: usize, listen: SocketAddr, over: &Over) {
+        let mut line: Option<Balancer> = None;
+        while !self.over.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_micros(self.gaps[server].load(Ordering::Relaxed)));
+            let Some(balancer) = line.take().or_else(|| connect(listen)) else {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            line = self.ask(server, balancer, over);
+        }
+    }
+
+    /// One request; the connection, if it can carry another.
+    fn ask(&self, server: usize, mut balancer: Balancer, over: &Over) -> Option<Balancer> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{server}-{number}");
+        let (class, budget) = BUDGETS_MS[(number % 2) as usize];
+        let path = format!("/svc/{class}");
+        let slot = (number % 60_000) as u16 + 1;
+        let request = Request::new(slot, &id)
+            .with("SCRIPT_NAME", &path)
+            .with("HTTP_BUDGET_MS", &budget.to_string())
+            .with("HTTP_PRIORITY_RANK", &format!("{:.4}", (number % 97) as f64 / 97.0));
+        let (at, start) = (now(), Instant::now());
+        let sent = std::io::Write::write_all(&mut balancer.stream, &request.bytes()).is_ok();
+        let answer = if sent { balancer.try_answer() } else { None };
+        over.tell(&id);
+        let took = start.elapsed();
+        let end = match &answer {
+            Some(answer) if answer.slot != slot => End::Extra,
+            Some(answer) if answer.protocol_status != 0 || answer.status == 503 => End::Refused,
+            Some(answer) if answer.status == 200 => End::Served,
+            Some(_) => End::Failed,
+            None if took >= PATIENCE => End::Lost,
+            None => End::Broken,
+        };
+        lock(&self.asked).push(Asked { server, at, took, end });
+        answer.filter(|answer| answer.slot == slot && answer.protocol_status == 0).map(|_| balancer)
+    }
+}
+
+fn connect(listen: SocketAddr) -> Option<Balancer> {
+    let stream = TcpStream::connect(listen).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(Balancer::tolerant(stream))
+}
--- a/crates/server/src/exchange/calls.rs
+++ b/crates/server/src/exchange/calls.rs
@@ -57,6 +57,8 @@
     pub config: Config,
     /// The mailbox of each dependency, by its name.
     pub mailboxes: BTreeMap<Rc<str>, Sender<Order>>,
+    /// What is shared with other servers, by dependency.
+    pub shares: Vec<(Rc<str>, umberloom_allowance::Config)>,
     /// The memory of kept results.
     pub charge: Charge,
 }
--- /dev/null
+++ b/crates/server/src/exchange/fleet.rs
@@ -0,0 +1,57 @@
+//! What the fleet's actor is told, and what it tells.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use umberloom_allowance::AllowanceView;
+use umberloom_membership::wire::About;
+use umberloom_membership::{Config, Name};
+
+/// The matter of shared allowances.
+pub const ALLOWANCE: u8 = 1;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Order {
+    /// Say this about a matter to a member.
+    Matter(Name, u8, Vec<u8>),
+    /// How loaded this server is, in percent.
+    Load(u8),
+    /// How shared allowances stand, for those who ask.
+    Shares(Vec<(Rc<str>, AllowanceView)>),
+    /// Other peers, with their addresses, and what this server is made of now.
+    Set(Box<(Config, Vec<SocketAddr>, About)>),
+    /// This server has been told to end.
+    Leave,
+    /// The last word.
+    Part,
+}
+
+/// What the module hears of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Who is there.
+    Present(Present),
+    /// A member says something about a matter.
+    Matter {
+        /// The member, and the start of its process.
+        from: (Name, u64),
+        /// Which matter.
+        kind: u8,
+        /// What it says.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Who is there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Present {
+    /// Members that are reached, with the starts of their processes.
+    pub reached: Vec<(Name, u64)>,
+    /// One that is reached goes by other parts of what is shared.
+    pub differ: bool,
+    /// Everyone in the roster is reached and goes by the same.
+    pub all: bool,
+    /// Another process has this server's name.
+    pub silenced: bool,
+}
--- a/crates/server/src/exchange/mod.rs
+++ b/crates/server/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod caller;
 pub mod calls;
+pub mod fleet;
 pub mod front;
 pub mod list;
 
@@ -55,6 +56,8 @@
     Called(CallId, Outcome, Micros, Vec<u8>),
     /// What the operator's file asks for from now on.
     Operator(Box<Wanted>),
+    /// News of the fleet.
+    Fleet(fleet::News),
     /// Notice to drain: the process is stopped after this span.
     Leave(Micros),
 }
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod config;
+mod fleet;
 mod keys_known;
 pub mod log;
 pub mod phase;
@@ -22,19 +23,24 @@
 use slog::{error, info, Logger};
 use umberloom::interface::Micros;
 use umberloom_intake::places::Places;
-use umberloom_operator::Operator;
+use umberloom_operator::{Known, Operator};
 
 use crate::exchange::calls::Wanted;
-use crate::exchange::{agent as to_agent, calls as to_calls, front as to_front, list as to_list, Message};
+use crate::exchange::{
+    agent as to_agent, calls as to_calls, fleet as to_fleet, front as to_front, list as to_list, Message,
+};
 use crate::memory::budget::Budget;
 use crate::module::{self, Module, Others};
 use crate::peers::agent::{self, Agent};
 use crate::peers::ajp::Ajp;
 use crate::peers::balancer::Shared;
 use crate::peers::dependency::{self, Dependency, Sockets, Target};
+use crate::peers::fleet::descriptors;
+use crate::peers::fleet::Sockets as FleetSockets;
 use crate::peers::front::{self, Front};
 use crate::peers::list::{self, List};
 use crate::plans::Plans;
+use crate::shares::Shares;
 use clock::Clock;
 use config::Config;
 use phase::{Life, Phase};
@@ -53,9 +59,9 @@
 
 impl Parts {
     /// Balancers open up to half of the limit; of the rest a part is kept for the agent, the list, calls,
-    /// the log and what the executor itself needs.
-    fn of(sockets: usize) -> Parts {
-        let own = 24.min(sockets / 4);
+    /// the log and what the executor itself needs; `fleet` of them are for streams between servers.
+    fn of(sockets: usize, fleet: usize) -> Parts {
+        let own = 24.min(sockets / 4) + fleet;
         let calls = 64.min(sockets / 8);
         Parts { connections: sockets - own - calls, calls }
     }
@@ -71,6 +77,11 @@
 }
 
 impl Files {
+    /// The operator's file as messages name it.
+    fn operator_name(&self) -> String {
+        self.operator.as_ref().map_or_else(String::new, |path| path.display().to_string())
+    }
+
     /// Reads both; each error names its file and its place.
     pub fn load(&self) -> Result<(Config, Option<Operator>), String> {
         let config = Config::load(&self.config)?;
@@ -79,10 +90,13 @@
     }
 }
 
+fn known(config: Option<&Config>) -> Known<'_> {
+    Known { classes: config.map(|c| c.classes.as_slice()), name: config.map(|c| c.name.as_str()) }
+}
+
 /// Reads the operator's file, against the platform's configuration where that is known.
 pub fn load_operator(path: &Path, config: Option<&Config>) -> Result<Operator, String> {
-    let operator =
-        umberloom_operator::load(path, config.map(|c| c.classes.as_slice())).map_err(|e| e.to_string())?;
+    let operator = umberloom_operator::load(path, known(config)).map_err(|e| e.to_string())?;
     let Some(config) = config else { return Ok(operator) };
     let (asked, most) = (operator.dependencies.kept.bytes, config.limits.memory / PEERS_SHARE / KEPT_PART);
     let name = path.display();
@@ -97,6 +111,9 @@
             "{name}: found \"platform\", expected endpoints: the configuration has no `records`"
         ));
     }
+    if let Some(why) = operator.fleet.as_ref().and_then(|told| fleet::misfit(told, config)) {
+        return Err(format!("{name}:{why}"));
+    }
     Ok(operator)
 }
 
@@ -116,7 +133,9 @@
     let executor = Rc::new(LocalExecutor::new());
     life.enter(Phase::Waiting);
     executor.spawn(standstill::watch(log.clone())).detach();
-    let program = Program::start(&executor, told, files, listener, clock, &log)?;
+    let sockets =
+        told.1.as_ref().and_then(|o| o.fleet.as_ref()).map(|f| FleetSockets::bind(f.listen)).transpose()?;
+    let program = Program::start(&executor, told, files, (listener, sockets), clock, &log)?;
     async_io::block_on(executor.run(program.live(life, notices)));
     Ok(())
 }
@@ -147,6 +166,7 @@
     records: Sender<to_calls::Order>,
     list: Sender<to_list::Word>,
     front: Sender<to_front::Order>,
+    fleet: Option<fleet::Running>,
     up: Receiver<()>,
     connections: Task<()>,
     clock: Clock,
@@ -158,18 +178,30 @@
         executor: &Rc<LocalExecutor<'a>>,
         (config, operator): (Config, Option<Operator>),
         files: Files,
-        listener: Async<TcpListener>,
+        (listener, fleet_sockets): (Async<TcpListener>, Option<FleetSockets>),
         clock: Clock,
         log: &Logger,
     ) -> Result<Program<'a>, String> {
-        let parts = Parts::of(config.limits.sockets);
+        let told_fleet = operator.as_ref().and_then(|o| o.fleet.clone());
+        let taken = told_fleet.as_ref().map_or(0, |told| descriptors(told.membership.peers.len()));
+        let parts = Parts::of(config.limits.sockets, taken);
         let (module, mail) = bounded(module::MAILBOX);
         let (agent, agent_orders) = bounded(agent::MAILBOX);
         let (records, records_orders) = bounded(dependency::MAILBOX);
         let (list, list_words) = bounded(list::MAILBOX);
         let (front, front_orders) = bounded(front::MAILBOX);
         let (up_told, up) = bounded(1);
+        let budget = Budget::new(config.limits.memory / PEERS_SHARE);
+        let fleet = match (told_fleet, fleet_sockets, &operator) {
+            (Some(told), Some(sockets), Some(operator)) => {
+                let about = fleet::about(&config, operator);
+                let seed = config.settings.seed;
+                Some(fleet::start(executor, sockets, told, about, seed, &module, &budget, log)?)
+            }
+            _ => None,
+        };
         let others = Others {
+            fleet: fleet.as_ref().map(|running| running.orders.clone()),
             agent: agent.clone(),
             records: records.clone(),
             list: list.clone(),
@@ -185,7 +217,6 @@
             let calls = Dependency::new(own, to, records_orders, module.clone(), clock, log.clone());
             executor.spawn(calls.run()).detach();
         }
-        let budget = Budget::new(config.limits.memory / PEERS_SHARE);
         let shared = Shared {
             module: module.clone(),
             classes: Rc::new(config.classes.clone()),
@@ -214,13 +245,16 @@
             records,
             list,
             front,
+            fleet,
             up,
             connections,
             clock: clock.clone(),
             log: log.clone(),
         };
         let wanted = operator.map(|operator| program.wanted(operator)).transpose()?;
-        let plans = wanted.and_then(|wanted| Plans::new(clock.now(), wanted, seed, log.clone()));
+        let to_fleet = program.fleet.as_ref().map(|running| running.orders.clone());
+        let shares = Shares::new(to_fleet, seed, log.clone());
+        let plans = wanted.and_then(|wanted| Plans::new(clock.now(), wanted, shares, seed, log.clone()));
         executor.spawn(Module::new(told, plans, mail, others, clock, log.clone()).run()).detach();
         Ok(program)
     }
@@ -243,7 +277,11 @@
         }
         let mailboxes =
             self.dependencies.iter().map(|(name, (_, orders))| (name.clone(), orders.clone())).collect();
-        Ok(Wanted { config: operator.dependencies, mailboxes, charge })
+        let shares = operator.fleet.iter().flat_map(|fleet| {
+            fleet.shared.iter().map(|(name, whole)| (Rc::from(name.as_str()), fleet.allowance(*whole)))
+        });
+        let shares = shares.collect();
+        Ok(Wanted { config: operator.dependencies, mailboxes, shares, charge })
     }
 
     /// Starts an actor for a dependency.
@@ -265,11 +303,14 @@
                 Next::Notice(Notice::Leave) => {
                     let stop = self.config.stop;
                     if life.leave(self.clock.now(), stop) {
+                        // Before the drain begins, and without waiting for it: the others hear that this one leaves.
+                        self.tell_fleet(to_fleet::Order::Leave);
                         let _ = self.module.send(Message::Leave(stop)).await;
                     }
                 }
                 Next::Time => {
                     if life.pass(self.clock.now()) && life.phase() == Phase::Closing {
+                        self.tell_fleet(to_fleet::Order::Part);
                         let _ = self.front.send(to_front::Order::Finish).await;
                     }
                 }
@@ -278,12 +319,21 @@
         }
     }
 
+    fn tell_fleet(&self, order: to_fleet::Order) {
+        if let Some(running) = &self.fleet {
+            let _ = running.orders.try_send(order);
+        }
+    }
+
     /// Goes over to what is in the files now, if both are sound and change nothing that can't change in a running
     /// program; else the old stays in force, whole. A file that is broken or half written must not cost what is
     /// being served.
     async fn reload(&mut self) {
         let read = self.files.load().and_then(|(new, operator)| {
             self.config.can_become(&new)?;
+            let (before, after) =
+                (self.fleet.as_ref().map(|f| &f.told), operator.as_ref().and_then(|o| o.fleet.as_ref()));
+            fleet::can_become(before, after).map_err(|why| format!("{}{why}", self.files.operator_name()))?;
             Ok((new, operator))
         });
         match read {
@@ -310,6 +360,12 @@
         }
         self.config = new;
         let Some(operator) = operator else { return };
+        if let (Some(running), Some(told)) = (&mut self.fleet, &operator.fleet) {
+            running.told = told.clone();
+            let about = fleet::about(&self.config, &operator);
+            let set = (told.membership.clone(), told.addresses.clone(), about);
+            let _ = running.orders.send(to_fleet::Order::Set(Box::new(set))).await;
+        }
         let plans = operator.dependencies.plans.len();
         match self.wanted(operator) {
             Ok(wanted) => {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -7,6 +7,8 @@
 mod module;
 mod peers;
 mod plans;
+mod questions;
+mod shares;
 mod wire;
 
 use std::path::PathBuf;
@@ -16,14 +18,16 @@
 use slog::{info, warn, Level};
 
 use lifecycle::config::Config;
+use lifecycle::log::Form;
 use lifecycle::signals::Notices;
 use lifecycle::{load_operator, Files};
 
 /// What the command line asks for.
 #[derive(Clone, Debug)]
 enum Command {
-    Serve { config: PathBuf, operator: Option<PathBuf>, verbose: bool },
+    Serve { config: PathBuf, operator: Option<PathBuf>, verbose: bool, log_format: Form },
     Check { config: Option<PathBuf>, operator: Option<PathBuf> },
+    Fleet(questions::Options),
     Version,
 }
 
@@ -37,7 +41,11 @@
 
 fn command_line() -> OptionParser<Command> {
     let verbose = long("verbose").short('v').help("Log each odd request too").switch();
-    let serve = construct!(Command::Serve { config(), operator(), verbose })
+    let log_format = long("log-format")
+        .help("How log lines are written: text or json")
+        .argument::<Form>("FORM")
+        .fallback(Form::Text);
+    let serve = construct!(Command::Serve { config(), operator(), verbose, log_format })
         .to_options()
         .descr("Serve balancers until SIGTERM; SIGHUP reads the files again")
         .command("serve");
@@ -47,18 +55,20 @@
         .descr("Say whether the files make sense, each by itself and together")
         .command("check");
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, version])
+    let fleet = questions::command_line().map(Command::Fleet).to_options();
+    let fleet = fleet.descr("Ask a server about its fleet").command("fleet");
+    construct!([serve, check, fleet, version])
         .to_options()
         .descr("A server that decides what it takes, runs and turns away")
 }
 
-fn serve(files: Files, verbose: bool) -> Result<(), String> {
+fn serve(files: Files, verbose: bool, form: Form) -> Result<(), String> {
     // Before anything else: a signal that comes early must not end the program by default.
     let notices = Notices::new().map_err(|e| format!("signals: {e}"))?;
     let told = files.load()?;
     let config = &told.0;
     let level = if verbose { Level::Debug } else { Level::Info };
-    let (log, _guard) = lifecycle::log::start(&config.name, level);
+    let (log, _guard) = lifecycle::log::start(&config.name, level, form);
     info!(log, "start"; "cold" => config.settings.cold, "version" => env!("CARGO_PKG_VERSION"), "listen" => %config.listen);
     config.warnings.iter().for_each(|said| warn!(log, "configuration"; "said" => said));
     if let Some(operator) = &told.1 {
@@ -87,8 +97,11 @@
 
 fn main() -> ExitCode {
     let done = match command_line().run() {
-        Command::Serve { config, operator, verbose } => serve(Files { config, operator }, verbose),
+        Command::Serve { config, operator, verbose, log_format } => {
+            serve(Files { config, operator }, verbose, log_format)
+        }
         Command::Check { config, operator } => check(config, operator),
+        Command::Fleet(options) => questions::ask(&options),
         Command::Version => {
             println!("umberloom {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -18,7 +18,7 @@
 use crate::exchange::agent::{self, Order};
 use crate::exchange::caller::{Answer, Check, ReplyTo, Request};
 use crate::exchange::calls::{self, CallId};
-use crate::exchange::{front, list, Message, RunEnd};
+use crate::exchange::{fleet, front, list, Message, RunEnd};
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::rare::Rare;
 use crate::memory::keys::Keys;
@@ -47,6 +47,8 @@
     pub front: Sender<front::Order>,
     /// Told once the agent is up.
     pub up: Sender<()>,
+    /// The fleet, if this server knows one.
+    pub fleet: Option<Sender<fleet::Order>>,
 }
 
 /// The actor.
@@ -138,7 +140,7 @@
     /// Waits for the next message or moment, and takes in all that has come; `false` at the end.
     async fn wait(&mut self) -> bool {
         let now = self.clock.now();
-        let plans = self.plans.as_ref().and_then(Plans::next_at);
+        let plans = self.plans.as_ref().and_then(|plans| plans.next_at(now));
         let moments = [self.wake_at, self.sample.map(|(_, until)| until), self.check_end(), plans];
         let next = moments.into_iter().flatten().min();
         let told = self.server.is_none() || self.events.is_empty();
@@ -250,6 +252,12 @@
                     self.take_plans();
                 }
             }
+            Message::Fleet(news) => {
+                if let Some(plans) = &mut self.plans {
+                    plans.hear(now, news);
+                    self.take_plans();
+                }
+            }
             Message::Leave(span) => {
                 self.stop_at = Some(now.saturating_add(span));
                 self.events.push(Event::Leave(span));
@@ -366,7 +374,16 @@
     fn sampled(&mut self, tag: u64, values: Vec<f64>) {
         if self.sample.is_some_and(|(wanted, _)| wanted == tag) {
             self.sample = None;
-            self.events.push(Event::Timer(self.gauges.gauges(values)));
+            let gauges = self.gauges.gauges(values);
+            self.tell_load(&gauges);
+            self.events.push(Event::Timer(gauges));
+        }
+    }
+
+    /// Other servers see how loaded this one is.
+    fn tell_load(&self, gauges: &Gauges) {
+        if let (Some(fleet), Some(cpu)) = (&self.others.fleet, gauges.cpu) {
+            let _ = fleet.try_send(fleet::Order::Load((cpu.clamp(0.0, 1.0) * 100.0) as u8));
         }
     }
 
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -35,7 +35,7 @@
     let (list, list_end) = async_channel::bounded(4);
     let (front, front_end) = async_channel::bounded(64);
     let (me, words) = async_channel::bounded(64);
-    let others = Others { agent, records, list, front, up: async_channel::bounded(1).0 };
+    let others = Others { agent, records, list, front, up: async_channel::bounded(1).0, fleet: None };
     let log = Logger::root(slog::Discard, slog::o!());
     let told = (set, Shape { passes_deadline: true, marks_retry: false }, GaugeNames::default());
     let mut module = Module::new(told, None, async_channel::bounded(1).1, others, Clock::default(), log);
--- a/crates/server/src/peers/dependency.rs
+++ b/crates/server/src/peers/dependency.rs
@@ -265,7 +265,11 @@
     };
     let _ = stream.get_ref().set_nodelay(true);
     let left = span.saturating_sub(before.elapsed());
-    let wait = left.as_millis().max(1).to_string();
+    if left < Duration::from_millis(1) {
+        // Connected too late, or stopped meanwhile: a call whose time is over is not sent, as its place may be another's.
+        return (Outcome::Unreachable, Vec::new());
+    }
+    let wait = left.as_millis().to_string();
     let headers = [("Op-Of", &*call.id.request), ("Op-Wait-Ms", &wait)];
     let made = async {
         match &target.ajp {
--- /dev/null
+++ b/crates/server/src/peers/fleet.rs
@@ -0,0 +1,405 @@
+//! This server's part in its fleet: the sockets around [`Membership`], which decides what is believed.
+//!
+//! Requests never wait for any of it. Every queue here has a bound and loses what does not fit, which the protocol
+//! takes for a network that loses; what others send is bounded in length before it is read.
+
+mod link;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::{debug, info, warn, Logger};
+use umberloom_allowance::AllowanceView;
+use umberloom_membership::wire::{About, Key, LONGEST_DATAGRAM};
+use umberloom_membership::{Action, Config, Membership, Micros, Name, Told, Via};
+
+use crate::exchange::fleet::{News, Order, Present};
+use crate::exchange::Message;
+use crate::memory::budget::Charge;
+use crate::wire::fleet::{frame, Answer, FleetView, Kind, Question, Reply, What};
+use link::Came;
+
+/// Orders that may wait to be taken.
+pub const MAILBOX: usize = 512;
+/// Frames that may wait to be taken, from all streams.
+const FRAMES: usize = 64;
+/// Streams that others may have open beyond one for each peer: guests, operators, and those that a restart left.
+const MORE: usize = 8;
+/// Memory of one stream: its longest frame, read and waiting.
+const STREAM: usize = 2 * crate::wire::fleet::LONGEST;
+/// Ways back that are remembered.
+const WAYS: usize = 256;
+/// Time between two words to the module about who is there, while nothing changes.
+const TELL_EVERY: Micros = 100_000;
+/// Datagrams taken in before others have their turn.
+const AT_ONCE: usize = 32;
+
+/// Descriptors that a fleet of so many peers takes: two sockets, a stream to and from each, and some more.
+pub fn descriptors(peers: usize) -> usize {
+    2 + 2 * peers + MORE
+}
+
+/// Memory that it may take: streams are short, so a part of them is full at a time.
+pub fn memory(peers: usize) -> usize {
+    (peers / 8 + MORE) * STREAM
+}
+
+/// The sockets, bound before anything is served.
+pub struct Sockets {
+    datagrams: Async<UdpSocket>,
+    listener: Async<TcpListener>,
+}
+
+impl Sockets {
+    /// Datagrams and streams at the same address.
+    pub fn bind(address: SocketAddr) -> Result<Sockets, String> {
+        let fail = |e: std::io::Error| format!("fleet: listen on {address}: {e}");
+        let datagrams = UdpSocket::bind(address).and_then(Async::new).map_err(fail)?;
+        let listener = TcpListener::bind(address).and_then(Async::new).map_err(fail)?;
+        Ok(Sockets { datagrams, listener })
+    }
+}
+
+/// From which stream something came.
+type From = (u64, Came);
+
+enum Next {
+    Order(Option<Order>),
+    Datagram,
+    Frame(u64, Came),
+    Accepted(TcpStream),
+    Time,
+}
+
+/// The actor.
+pub struct Fleet<'a> {
+    executor: Rc<LocalExecutor<'a>>,
+    membership: Membership,
+    key: Key,
+    name: Name,
+    peers: usize,
+    sockets: Rc<Sockets>,
+    orders: Receiver<Order>,
+    module: Sender<Message>,
+    addresses: BTreeMap<Name, SocketAddr>,
+    /// Streams to peers.
+    outs: BTreeMap<Name, (Sender<Vec<u8>>, Task<()>)>,
+    /// Streams that others opened.
+    ins: BTreeMap<u64, (Sender<Vec<u8>>, Task<()>)>,
+    came: (Sender<From>, Receiver<From>),
+    next: u64,
+    /// Where datagrams came from, for answers: the newest at the end.
+    ways: VecDeque<(u64, SocketAddr)>,
+    start: Instant,
+    told: (Present, Micros),
+    shares: Vec<(Rc<str>, AllowanceView)>,
+    mine: About,
+    log: Logger,
+    _charge: Charge,
+}
+
+impl<'a> Fleet<'a> {
+    /// A server of this fleet, whose process started at `boot`, a Unix time in microseconds.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        executor: Rc<LocalExecutor<'a>>,
+        sockets: Sockets,
+        (config, addresses, about): (Config, Vec<SocketAddr>, About),
+        (boot, seed): (u64, u64),
+        orders: Receiver<Order>,
+        module: Sender<Message>,
+        charge: Charge,
+        log: Logger,
+    ) -> Result<Fleet<'a>, String> {
+        let name = config.name.clone();
+        let key = Key::new(&config.fleet, &config.secret);
+        let peers = config.peers.len();
+        let addresses = config.peers.iter().map(|peer| peer.name.clone()).zip(addresses).collect();
+        let membership = Membership::new(0, config, boot, seed);
+        let mut membership = membership
+            .map_err(|all| all.into_iter().map(|mistake| mistake.what).collect::<Vec<_>>().join("; "))?;
+        membership.set_about(0, about.clone());
+        Ok(Fleet {
+            executor,
+            membership,
+            key,
+            name,
+            peers,
+            sockets: Rc::new(sockets),
+            orders,
+            module,
+            addresses,
+            outs: BTreeMap::new(),
+            ins: BTreeMap::new(),
+            came: bounded(FRAMES),
+            next: 0,
+            ways: VecDeque::new(),
+            start: Instant::now(),
+            told: (Present::default(), 0),
+            shares: Vec::new(),
+            mine: about,
+            log,
+            _charge: charge,
+        })
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// Goes on until the last word has been said.
+    pub async fn run(mut self) {
+        loop {
+            let next = self.wait().await;
+            let now = self.now();
+            match next {
+                Next::Order(None) => return,
+                Next::Order(Some(Order::Part)) => {
+                    self.membership.part(now);
+                    self.carry_out(now);
+                    return;
+                }
+                Next::Order(Some(order)) => self.obey(now, order),
+                Next::Datagram => self.datagrams(now),
+                Next::Frame(id, came) => self.frame(now, id, came),
+                Next::Accepted(stream) => self.accepted(stream),
+                Next::Time => {}
+            }
+            self.membership.pass(now);
+            self.carry_out(now);
+            self.tell(now);
+        }
+    }
+
+    /// The next thing, without preference: a flood of one kind must not hide the others.
+    async fn wait(&self) -> Next {
+        let order = async { Next::Order(self.orders.recv().await.ok()) };
+        let datagram = async {
+            match self.sockets.datagrams.readable().await {
+                Ok(()) => Next::Datagram,
+                Err(_) => future::pending().await,
+            }
+        };
+        let frame = async {
+            match self.came.1.recv().await {
+                Ok((id, came)) => Next::Frame(id, came),
+                Err(_) => future::pending().await,
+            }
+        };
+        let accepted = async {
+            loop {
+                match self.sockets.listener.accept().await {
+                    Ok((stream, _)) => match stream.into_inner() {
+                        Ok(stream) => return Next::Accepted(stream),
+                        Err(e) => debug!(self.log, "fleet: accepted in vain"; "why" => %e),
+                    },
+                    Err(_) => drop(Timer::after(Duration::from_millis(20)).await),
+                }
+            }
+        };
+        let due = self.membership.next_at().saturating_sub(self.now());
+        let time = async {
+            Timer::after(Duration::from_micros(due)).await;
+            Next::Time
+        };
+        future::race(order, future::race(future::race(datagram, frame), future::race(accepted, time))).await
+    }
+
+    fn obey(&mut self, now: Micros, order: Order) {
+        match order {
+            Order::Matter(to, kind, bytes) => self.membership.matter(now, &to, kind, bytes),
+            Order::Load(percent) => self.membership.set_load(percent),
+            Order::Shares(shares) => self.shares = shares,
+            Order::Set(told) => {
+                let (config, addresses, about) = *told;
+                self.peers = config.peers.len();
+                self.addresses = config.peers.iter().map(|peer| peer.name.clone()).zip(addresses).collect();
+                // Streams to those who are gone, or elsewhere, end with what they carry.
+                self.outs.clear();
+                self.membership.set(now, config);
+                self.membership.set_about(now, about.clone());
+                self.mine = about;
+            }
+            Order::Leave => self.membership.leave(now),
+            Order::Part => {}
+        }
+    }
+
+    fn datagrams(&mut self, now: Micros) {
+        let mut bytes = [0; LONGEST_DATAGRAM + 1];
+        for _ in 0..AT_ONCE {
+            let Ok((size, from)) = self.sockets.datagrams.get_ref().recv_from(&mut bytes) else { return };
+            let way = self.way(from);
+            self.membership.hear(now, &bytes[..size], Via::Datagram(way));
+        }
+    }
+
+    /// The number of a way back.
+    fn way(&mut self, from: SocketAddr) -> u64 {
+        if let Some((way, _)) = self.ways.iter().rev().find(|(_, address)| *address == from) {
+            return *way;
+        }
+        if self.ways.len() == WAYS {
+            self.ways.pop_front();
+        }
+        self.next += 1;
+        self.ways.push_back((self.next, from));
+        self.next
+    }
+
+    fn accepted(&mut self, stream: TcpStream) {
+        if self.ins.len() >= self.peers + MORE {
+            // The oldest are those that a restart or a cut has left behind.
+            self.ins.pop_first();
+        }
+        let Ok(stream) = Async::new(stream) else { return };
+        let _ = stream.get_ref().set_nodelay(true);
+        self.next += 1;
+        let (answers, taken) = bounded(link::WAITING);
+        let served = link::serve(self.next, stream, self.came.0.clone(), taken);
+        self.ins.insert(self.next, (answers, self.executor.spawn(served)));
+    }
+
+    fn frame(&mut self, now: Micros, id: u64, came: Came) {
+        match came {
+            Came::End => drop(self.ins.remove(&id)),
+            Came::Frame(Kind::Message, content) => self.membership.hear(now, &content, Via::Stream(id)),
+            Came::Frame(Kind::Question, content) => {
+                match self.key.open::<Question>(&content, content.len()) {
+                    Ok(question) => self.answer(now, id, question),
+                    Err(why) => debug!(self.log, "fleet: a question that is not believed"; "why" => ?why),
+                }
+            }
+            Came::Frame(Kind::Answer, _) => {}
+        }
+    }
+
+    fn answer(&mut self, now: Micros, id: u64, question: Question) {
+        let reply = match question.what {
+            What::Members => Reply::Members(self.view(now)),
+            What::Explain(name) => match self.membership.explain(now, &name) {
+                Some(evidence) => Reply::Explain(evidence),
+                None => {
+                    let members = self.membership.members(now);
+                    Reply::Unknown(members.iter().map(|m| m.name.to_string()).collect())
+                }
+            },
+        };
+        let answer = self.key.seal(&Answer { number: question.number, reply });
+        if let Some((answers, _)) = self.ins.get(&id) {
+            let _ = answers.try_send(frame(Kind::Answer, &answer));
+        }
+    }
+
+    fn view(&self, now: Micros) -> FleetView {
+        let member = &self.membership;
+        FleetView {
+            name: self.name.to_string(),
+            boot: member.boot(),
+            standing: member.standing(),
+            sick: member.sick(),
+            silenced: member.is_silenced(),
+            members: member.members(now),
+            allowances: self.shares.iter().map(|(name, view)| (name.to_string(), view.clone())).collect(),
+            disagreements: member.disagreements().map(|d| (d.with.to_string(), d.differences())).collect(),
+            counts: member.counts().clone(),
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros) {
+        for action in self.membership.take_actions() {
+            match action {
+                Action::Datagram(to, bytes) => {
+                    if let Some(address) = self.addresses.get(&to) {
+                        // A send queue that is full loses it, as the network might.
+                        let _ = self.sockets.datagrams.get_ref().send_to(&bytes, address);
+                    }
+                }
+                Action::Stream(to, bytes) => self.stream(&to, frame(Kind::Message, &bytes)),
+                Action::Reply(Via::Datagram(way), bytes) => {
+                    if let Some((_, address)) = self.ways.iter().find(|(number, _)| *number == way) {
+                        let _ = self.sockets.datagrams.get_ref().send_to(&bytes, address);
+                    }
+                }
+                Action::Reply(Via::Stream(id), bytes) => {
+                    if let Some((answers, _)) = self.ins.get(&id) {
+                        let _ = answers.try_send(frame(Kind::Message, &bytes));
+                    }
+                }
+            }
+        }
+        for matter in self.membership.take_matters() {
+            let from = (matter.from, matter.boot);
+            let news = News::Matter { from, kind: matter.kind, bytes: matter.bytes };
+            // A module that has no time for it now is one whose loans have to wait.
+            let _ = self.module.try_send(Message::Fleet(news));
+        }
+        for told in self.membership.take_told() {
+            self.log(now, told);
+        }
+    }
+
+    fn stream(&mut self, to: &Name, frame: Vec<u8>) {
+        let Some(address) = self.addresses.get(to).copied() else { return };
+        let executor = &self.executor;
+        let (out, _) = self.outs.entry(to.clone()).or_insert_with(|| {
+            let (out, taken) = bounded(link::WAITING);
+            (out, executor.spawn(link::write_to(address, taken)))
+        });
+        let _ = out.try_send(frame);
+    }
+
+    fn tell(&mut self, now: Micros) {
+        if now < self.told.1 + TELL_EVERY {
+            return;
+        }
+        let reached = self.membership.reached(now);
+        let members = self.membership.members(now);
+        let named = || members.iter().filter(|m| m.named);
+        let same = |shares: u64| shares == self.mine.shares;
+        let present = Present {
+            differ: named().any(|m| m.reached && !same(m.about.shares)),
+            all: named().all(|m| m.reached && same(m.about.shares)),
+            silenced: self.membership.is_silenced(),
+            reached,
+        };
+        self.told.1 = now;
+        if present != self.told.0
+            && self.module.try_send(Message::Fleet(News::Present(present.clone()))).is_ok()
+        {
+            self.told.0 = present;
+        }
+    }
+
+    fn log(&self, now: Micros, told: Told) {
+        match told {
+            Told::Standing { from, to, cause } => {
+                info!(self.log, "standing"; "from" => %from, "to" => %to, "cause" => cause, "ms" => now / 1_000);
+            }
+            Told::Member { name, from, to, cause } => {
+                info!(self.log, "member"; "name" => &*name, "from" => %from, "to" => %to, "cause" => cause);
+            }
+            Told::Doubled(name, older, newer) => {
+                warn!(self.log, "two processes of one name"; "name" => &*name, "older" => older, "newer" => newer);
+            }
+            Told::Superseded(by) => {
+                warn!(self.log, "another process has this server's name"; "started" => by);
+            }
+            Told::Renewed(boot) => {
+                warn!(self.log, "this server goes on under a new start"; "started" => boot)
+            }
+            Told::Disagreement(with) => warn!(self.log, "views differ"; "with" => &*with, "for_long" => true),
+            Told::Agreement(with) => info!(self.log, "views agree again"; "with" => &*with),
+            Told::Refused(why, count, from) => {
+                let from = from.map_or_else(String::new, |name| name.to_string());
+                warn!(self.log, "message not believed"; "why" => ?why, "count" => count, "said_to_be_from" => from);
+            }
+        }
+    }
+}
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -4,6 +4,7 @@
 pub mod ajp;
 pub mod balancer;
 pub mod dependency;
+pub mod fleet;
 pub mod front;
 pub mod journal;
 pub mod list;
--- a/crates/server/src/plans.rs
+++ b/crates/server/src/plans.rs
@@ -10,8 +10,10 @@
 use umberloom_dependencies::{breaker, route, Action, Ask, AttemptId, Engine, PlanId, ServiceView};
 
 use crate::exchange::calls::{Call, CallId, Order, Wanted};
+use crate::exchange::fleet::News;
 use crate::memory::budget::Charge;
 use crate::memory::open::Open;
+use crate::shares::Shares;
 
 /// Time between looks at what has been left out and what has come back, for the log.
 const WATCH_EVERY: Micros = 1_000_000;
@@ -39,6 +41,8 @@
 /// All plans under way.
 pub struct Plans {
     engine: Engine,
+    /// Places that several servers share; none without a fleet.
+    shares: Shares,
     mailboxes: BTreeMap<Rc<str>, Sender<Order>>,
     charge: Charge,
     plans: BTreeMap<PlanId, UnderWay>,
@@ -55,11 +59,13 @@
 
 impl Plans {
     /// None under way yet. Settings with mistakes were turned down when the file was read.
-    pub fn new(now: Micros, wanted: Wanted, seed: u64, log: Logger) -> Option<Plans> {
+    pub fn new(now: Micros, wanted: Wanted, mut shares: Shares, seed: u64, log: Logger) -> Option<Plans> {
         let engine = Engine::new(now, wanted.config, seed);
         let engine = engine.map_err(|mistakes| warn!(log, "no plans"; "why" => ?mistakes)).ok()?;
-        Some(Plans {
+        shares.set(wanted.shares);
+        let mut plans = Plans {
             engine,
+            shares,
             mailboxes: wanted.mailboxes,
             charge: wanted.charge,
             plans: BTreeMap::new(),
@@ -70,13 +76,22 @@
             watch_at: now + WATCH_EVERY,
             seen: Vec::new(),
             log,
-        })
+        };
+        plans.share(now);
+        Some(plans)
     }
 
     /// New settings. What is under way ends as it began.
     pub fn set(&mut self, now: Micros, wanted: Wanted) {
         match self.engine.set(now, wanted.config) {
-            Ok(()) => (self.mailboxes, self.charge) = (wanted.mailboxes, wanted.charge),
+            Ok(()) => {
+                (self.mailboxes, self.charge) = (wanted.mailboxes, wanted.charge);
+                let mut actions = Vec::new();
+                for gone in self.shares.set(wanted.shares) {
+                    self.engine.cap(now, &gone, usize::MAX, &mut actions);
+                }
+                self.carry_out(now, actions);
+            }
             Err(mistakes) => warn!(self.log, "the old plans stay"; "why" => ?mistakes),
         }
     }
@@ -109,6 +124,9 @@
 
     /// An attempt is over.
     pub fn ended(&mut self, now: Micros, call: &CallId, outcome: Outcome, reply: Vec<u8>) {
+        // A whole reply says that the call is over there, and so does one that never came there.
+        let known = matches!(outcome, Outcome::Ok | Outcome::Error) || outcome.never_ran();
+        self.shares.end(call.attempt, known);
         if self.attempts.remove(&call.attempt).is_some() {
             let mut actions = Vec::new();
             self.engine.ended(now, call.attempt, outcome, reply, &mut actions);
@@ -126,9 +144,16 @@
         true
     }
 
-    /// When something is due next.
-    pub fn next_at(&self) -> Option<Micros> {
-        self.engine.next_at()
+    /// When something is due next, `now` being the time.
+    pub fn next_at(&self, now: Micros) -> Option<Micros> {
+        let shared = self.shares.next_in().map(|span| now + span);
+        self.engine.next_at().into_iter().chain(shared).min()
+    }
+
+    /// News of the fleet.
+    pub fn hear(&mut self, now: Micros, news: News) {
+        self.shares.hear(news);
+        self.share(now);
     }
 
     /// What is due by now.
@@ -137,6 +162,8 @@
             let mut actions = Vec::new();
             self.engine.pass(now, &mut actions);
             self.carry_out(now, actions);
+        } else {
+            self.share(now);
         }
         if now >= self.watch_at {
             self.watch_at = now + WATCH_EVERY;
@@ -155,17 +182,40 @@
     }
 
     fn carry_out(&mut self, now: Micros, actions: Vec<Action>) {
+        self.act(now, actions);
+        self.share(now);
+    }
+
+    /// Lets as many calls be in flight as this server has places for, which may let more begin.
+    fn share(&mut self, now: Micros) {
+        for dependency in self.shares.names() {
+            let most = self.shares.pass(&dependency, self.engine.demand(&dependency));
+            let mut actions = Vec::new();
+            self.engine.cap(now, &dependency, most, &mut actions);
+            self.act(now, actions);
+        }
+        self.shares.tell();
+    }
+
+    fn act(&mut self, now: Micros, actions: Vec<Action>) {
         let mut actions = std::collections::VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
             match action {
                 Action::Start { attempt, plan, dependency, address, until } => {
-                    if !self.start((attempt, plan), &dependency, &address, until) {
+                    let span = until.saturating_sub(now);
+                    let placed = self.shares.take(&dependency, attempt, span);
+                    let started = placed
+                        .is_some_and(|span| self.start((attempt, plan), &dependency, &address, now + span));
+                    if !started {
+                        self.shares.end(attempt, true);
                         let mut more = Vec::new();
                         self.engine.ended(now, attempt, Outcome::Refused, Vec::new(), &mut more);
                         actions.extend(more);
                     }
                 }
                 Action::Cancel(attempt) => {
+                    // It may go on there until the time that it stated has run out.
+                    self.shares.end(attempt, false);
                     if let Some((call, to)) = self.attempts.remove(&attempt) {
                         // A call whose mailbox has no room ends by itself at its time, and is no longer known here.
                         let _ = to.try_send(Order::GiveUp(call));
--- /dev/null
+++ b/crates/server/src/shares.rs
@@ -0,0 +1,160 @@
+//! Allowances that this server shares with others: what `crates/allowance` decides, between the plans' engine, which
+//! has calls to make, and the fleet's actor, which carries messages.
+//!
+//! Its clock is the system's monotonic one, not the Unix clock that requests are timed by: that one may be set
+//! forward, and loans that were lent would seem to be over.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_channel::Sender;
+use slog::{info, warn, Logger};
+use umberloom_allowance::{Allowance, AllowanceView, CallId, Config, Message, Micros};
+use umberloom_dependencies::Demand;
+
+use crate::exchange::fleet::{News, Order, Present, ALLOWANCE};
+
+/// Time between two words to the fleet's actor about how they stand.
+const TELL_EVERY: Micros = 200_000;
+
+/// What is shared, by the dependency's name.
+pub struct Shares {
+    all: BTreeMap<Rc<str>, Allowance>,
+    /// Which one each call under way has its place from.
+    calls: BTreeMap<CallId, Rc<str>>,
+    present: Present,
+    start: Instant,
+    seed: u64,
+    fleet: Option<Sender<Order>>,
+    told: Micros,
+    said: Vec<(Rc<str>, AllowanceView)>,
+    log: Logger,
+}
+
+impl Shares {
+    /// None yet.
+    pub fn new(fleet: Option<Sender<Order>>, seed: u64, log: Logger) -> Shares {
+        let (all, calls, present) = (BTreeMap::new(), BTreeMap::new(), Present::default());
+        Shares { all, calls, present, start: Instant::now(), seed, fleet, told: 0, said: Vec::new(), log }
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// What is shared from now on. One that stays keeps what it has lent and borrowed; those that are gone are
+    /// returned: no bound holds for their calls any more.
+    pub fn set(&mut self, wanted: Vec<(Rc<str>, Config)>) -> Vec<Rc<str>> {
+        let now = self.now();
+        let named = |name: &Rc<str>| wanted.iter().any(|(other, _)| other == name);
+        let gone: Vec<Rc<str>> = self.all.keys().filter(|name| !named(name)).cloned().collect();
+        gone.iter().for_each(|name| drop(self.all.remove(name)));
+        for (name, config) in wanted {
+            let done = match self.all.get_mut(&name) {
+                Some(there) => there.set(now, config),
+                None => {
+                    self.seed = self.seed.wrapping_add(1);
+                    Allowance::new(now, config, self.seed).map(|new| drop(self.all.insert(name.clone(), new)))
+                }
+            };
+            if let Err(mistakes) = done {
+                warn!(self.log, "allowance not taken up"; "dependency" => &*name, "why" => mistakes.join("; "));
+            }
+        }
+        gone
+    }
+
+    /// Their names.
+    pub fn names(&self) -> Vec<Rc<str>> {
+        self.all.keys().cloned().collect()
+    }
+
+    /// A place for a call that would state a time of so long at most; the time that it may state. A dependency that is
+    /// not shared has places for all.
+    pub fn take(&mut self, dependency: &str, call: CallId, span: Micros) -> Option<Micros> {
+        let now = self.now();
+        let Some((name, allowance)) = self.all.get_key_value(dependency) else { return Some(span) };
+        let (name, _) = (name.clone(), allowance);
+        let until = self.all.get_mut(&name)?.take(now, call, now + span)?;
+        self.calls.insert(call, name);
+        Some(until - now)
+    }
+
+    /// A call is over here. `known`: it is over at the dependency too, by its own word or because it never came there;
+    /// else its place stays taken until the time that it stated has run out.
+    pub fn end(&mut self, call: CallId, known: bool) {
+        let Some(name) = self.calls.remove(&call) else { return };
+        if let Some(allowance) = self.all.get_mut(&name).filter(|_| known) {
+            allowance.end(call);
+        }
+    }
+
+    /// News of the fleet.
+    pub fn hear(&mut self, news: News) {
+        let now = self.now();
+        match news {
+            News::Present(present) => {
+                self.all.values_mut().for_each(|allowance| allowance.silence(now, present.silenced));
+                self.present = present;
+            }
+            News::Matter { from: (name, boot), kind: ALLOWANCE, bytes } => {
+                // What can't be read is of a program that says more than this one knows.
+                let Ok((about, message)) = postcard::from_bytes::<(String, Message)>(&bytes) else { return };
+                if let Some(allowance) = self.all.get_mut(about.as_str()) {
+                    allowance.hear(now, &name, boot, &message);
+                }
+            }
+            News::Matter { .. } => {}
+        }
+    }
+
+    /// What is due, with what is asked of a dependency now: how many calls may be in flight there.
+    pub fn pass(&mut self, dependency: &Rc<str>, demand: Demand) -> usize {
+        let now = self.now();
+        let Present { reached, differ, all, silenced } = &self.present;
+        let Some(allowance) = self.all.get_mut(dependency) else { return usize::MAX };
+        allowance.silence(now, *silenced);
+        allowance.present(now, reached.clone(), *differ, *all);
+        allowance.need(demand.waiting as u32, demand.level);
+        allowance.pass(now);
+        let free = allowance.free(now) as usize;
+        for (to, message) in allowance.take_messages() {
+            let bytes = postcard::to_stdvec(&(&**dependency, message)).unwrap_or_default();
+            if let Some(fleet) = &self.fleet {
+                // A mailbox without room loses it, and the question is asked again.
+                let _ = fleet.try_send(Order::Matter(to, ALLOWANCE, bytes));
+            }
+        }
+        demand.in_flight + free
+    }
+
+    /// How long until something is due; `None` where nothing is shared.
+    pub fn next_in(&self) -> Option<Micros> {
+        let now = self.now();
+        let next = self.all.values().map(|allowance| allowance.next_at(now)).min()?;
+        Some(next.saturating_sub(now).clamp(1_000, TELL_EVERY))
+    }
+
+    /// Tells the fleet's actor how they stand, for those who ask, and the log of what moved parts.
+    pub fn tell(&mut self) {
+        let now = self.now();
+        if self.all.is_empty() || now < self.told + TELL_EVERY {
+            return;
+        }
+        self.told = now;
+        let views: Vec<(Rc<str>, AllowanceView)> =
+            self.all.iter().map(|(name, allowance)| (name.clone(), allowance.explain(now))).collect();
+        for (name, view) in &views {
+            let before = self.said.iter().find(|(said, _)| said == name).map(|(_, view)| view.part);
+            if before.is_some_and(|part| part != view.part) {
+                info!(self.log, "allowance"; "dependency" => &**name, "part" => view.part, "whole" => view.whole,
+                    "moved_by" => ?view.moved.0);
+            }
+        }
+        self.said = views.clone();
+        if let Some(fleet) = &self.fleet {
+            let _ = fleet.try_send(Order::Shares(views));
+        }
+    }
+}
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -3,6 +3,7 @@
 pub mod buffer;
 pub mod cgi;
 pub mod fastcgi;
+pub mod fleet;
 pub mod http;
 pub mod jsonl;
 pub mod responder;
--- a/crates/standins/src/dependency.rs
+++ b/crates/standins/src/dependency.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -58,11 +58,46 @@
     requests: HashSet<String>,
     waits_ms: Vec<u64>,
     bodies: Vec<Vec<u8>>,
+    /// When each call came and ended, and what it stated.
+    spans: Vec<Span>,
     /// Calls under way, and the most at once.
     at_once: u64,
     most_at_once: u64,
 }
 
+/// One call, as the service saw it.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub from: Instant,
+    /// When its reply was written; none while it has none, or where nobody took it.
+    pub answered: Option<Instant>,
+    pub stated: Duration,
+}
+
+impl Span {
+    /// Until when it was in use: until it was answered, or the time that it stated had run out.
+    pub fn until(&self) -> Instant {
+        let stated = self.from + self.stated;
+        self.answered.map_or(stated, |at| at.min(stated))
+    }
+}
+
+/// The most calls that were in use at any one instant, and the first such instant.
+pub fn most_in_use(spans: &[Span]) -> (usize, Option<Instant>) {
+    let ends = spans.iter().flat_map(|span| [(span.from, 1i64), (span.until(), -1)]);
+    let mut ends: Vec<(Instant, i64)> = ends.collect();
+    // An end and a start at the same instant do not meet.
+    ends.sort();
+    let (mut now, mut most, mut at) = (0, 0, None);
+    for (instant, change) in ends {
+        now += change;
+        if now > most {
+            (most, at) = (now, Some(instant));
+        }
+    }
+    (most as usize, at)
+}
+
 struct Inside {
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Seen>,
@@ -130,6 +165,11 @@
         lock(&self.inside.seen).waits_ms.clone()
     }
 
+    /// Every call so far.
+    pub fn spans(&self) -> Vec<Span> {
+        lock(&self.inside.seen).spans.clone()
+    }
+
     /// The bodies of the first calls.
     pub fn bodies(&self) -> Vec<Vec<u8>> {
         lock(&self.inside.seen).bodies.clone()
@@ -172,16 +212,21 @@
     let mut from = BufReader::new(copy);
     while let Some(request) = receive(&mut from) {
         let behaviour = lock(&inside.behaviour).clone();
-        note(inside, &request);
+        let place = note(inside, &request);
         let keeps = answer(stream, inside, &behaviour);
-        lock(&inside.seen).at_once -= 1;
+        let mut seen = lock(&inside.seen);
+        seen.at_once -= 1;
+        if keeps {
+            seen.spans[place].answered = Some(Instant::now());
+        }
+        drop(seen);
         if !keeps {
             return;
         }
     }
 }
 
-fn note(inside: &Inside, request: &Received) {
+fn note(inside: &Inside, request: &Received) -> usize {
     let mut seen = lock(&inside.seen);
     seen.calls += 1;
     seen.at_once += 1;
@@ -193,6 +238,9 @@
         seen.waits_ms.extend(request.find("Op-Wait-Ms").and_then(|ms| ms.parse::<u64>().ok()));
         seen.bodies.push(request.body.clone());
     }
+    let stated = request.find("Op-Wait-Ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    seen.spans.push(Span { from: Instant::now(), answered: None, stated: Duration::from_millis(stated) });
+    seen.spans.len() - 1
 }
 
 /// Whether the connection can carry another call.
