umberloom-lab fleet plays faults on a fleet; measure has its figures; make demo-fleet

The play prints a time line by server, the drawn script and the checkers' verdict, draws it as SVG, and exits 1 on a breach.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 # The usual tasks; `make` alone lists them.
 CONFIG ?= deploy/example.json
 
-.PHONY: help build test lint run check demo bench
+.PHONY: help build test lint run check demo demo-fleet bench
 
 help:
-	@echo "make demo | build | test | lint | bench | run | check   (CONFIG=FILE for run and check)"
+	@echo "make demo | demo-fleet | build | test | lint | bench | run | check   (CONFIG=FILE for run and check)"
 
 build:
 	cargo build --release
@@ -19,6 +19,9 @@
 demo: build
 	target/release/umberloom-lab demo
 
+demo-fleet: build
+	target/release/umberloom-lab fleet --servers 5 --seconds 20 --seed 7
+
 bench:
 	cargo bench -p umberloom-dependencies
 
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -61,7 +61,7 @@
 }
 
 /// The program that stands beside this one.
-fn beside() -> Result<PathBuf, String> {
+pub fn beside() -> Result<PathBuf, String> {
     let me = std::env::current_exe().map_err(|e| format!("its own place: {e}"))?;
     let server = me.with_file_name("umberloom");
     match server.exists() {
--- /dev/null
+++ b/crates/lab/src/fleet_chart.rs
@@ -0,0 +1,90 @@
+//! The time line of a fleet as a picture: how each server stood, and what was in use of what they share.
+
+use std::path::Path;
+use std::time::Instant;
+
+use plotters::prelude::*;
+use umberloom_rig::Options;
+use umberloom_standins::dependency::Span;
+
+use crate::fleet::Sample;
+
+fn colour(standing: char) -> RGBColor {
+    match standing {
+        'W' => RGBColor(60, 140, 80),
+        'M' => RGBColor(150, 190, 90),
+        'm' => RGBColor(230, 170, 60),
+        'a' => RGBColor(210, 80, 60),
+        'z' => RGBColor(110, 110, 160),
+        '?' => RGBColor(170, 170, 170),
+        _ => RGBColor(40, 40, 40),
+    }
+}
+
+/// Writes it as SVG.
+pub fn draw(
+    path: &Path,
+    options: &Options,
+    lines: &[Vec<Sample>],
+    spans: &[Span],
+    start: Instant,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let end = lines.iter().flatten().map(|s| s.at).max().unwrap_or(1) as f64 / 1_000.0 + 0.5;
+    let rows = lines.len();
+    let area = SVGBackend::new(path, (1_000, 260 + 22 * rows as u32)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let (upper, lower) = area.split_vertically(40 + 22 * rows as u32);
+    let mut chart = ChartBuilder::on(&upper)
+        .caption(
+            "standing: whole green, majority light, minority amber, alone red, stopped blue, unsure grey",
+            ("sans-serif", 13),
+        )
+        .margin(6)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..end, 0.0..rows as f64)?;
+    let name = |y: &f64| {
+        let n = rows as f64 - 0.5 - y;
+        options.names.get(n.round() as usize).filter(|_| n.fract().abs() < 0.01).cloned().unwrap_or_default()
+    };
+    chart
+        .configure_mesh()
+        .disable_mesh()
+        .disable_x_axis()
+        .y_labels(2 * rows + 1)
+        .y_label_formatter(&name)
+        .draw()?;
+    for (n, line) in lines.iter().enumerate() {
+        let top = (rows - n) as f64;
+        let ends = line.iter().skip(1).map(|s| s.at as f64 / 1_000.0).chain([end]);
+        let boxes = line.iter().zip(ends).map(|(s, to)| {
+            Rectangle::new([(s.at as f64 / 1_000.0, top - 0.1), (to, top - 0.9)], colour(s.standing).filled())
+        });
+        chart.draw_series(boxes)?;
+    }
+    let most = f64::from(options.whole) * 1.15;
+    let mut chart = ChartBuilder::on(&lower)
+        .caption(
+            format!("calls in use at the shared dependency, which survives {}", options.whole),
+            ("sans-serif", 13),
+        )
+        .margin(6)
+        .x_label_area_size(28)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..end, 0.0..most)?;
+    chart.configure_mesh().x_desc("seconds").draw()?;
+    let since = |at: Instant| at.saturating_duration_since(start).as_secs_f64();
+    let mut ends: Vec<(f64, i64)> =
+        spans.iter().flat_map(|span| [(since(span.from), 1), (since(span.until()), -1)]).collect();
+    ends.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+    let (mut now, mut points) = (0, Vec::new());
+    for (at, change) in ends {
+        points.push((at, now as f64));
+        now += change;
+        points.push((at, now as f64));
+    }
+    chart.draw_series(LineSeries::new(points, &BLUE))?;
+    let whole = f64::from(options.whole);
+    chart.draw_series(LineSeries::new([(0.0, whole), (end, whole)], &RED))?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/fleet_measures.rs
@@ -0,0 +1,249 @@
+//! Measurements of a fleet: real processes over the rig's relays, and members on virtual time.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use comfy_table::{presets, Table};
+use umberloom_membership::Config;
+use umberloom_rig::traffic::{End, Traffic};
+use umberloom_rig::virtual_fleet::{Network, VirtualFleet};
+use umberloom_rig::{Fleet, Options as Rig};
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub server: Option<PathBuf>,
+    pub what: What,
+}
+
+#[derive(Clone, Debug)]
+pub enum What {
+    /// From a kill to all knowing, of real processes: numbers of servers, and kills each.
+    Detection(Vec<usize>, usize),
+    /// The same on virtual time, with false suspicions by loss, bytes, and the time until views agree after a cut.
+    Virtual(Vec<usize>, u64),
+    /// What sharing by loans is worth under uneven need: seconds.
+    Loans(u64),
+    /// Processor time and bytes of members that only know each other: numbers of servers, seconds.
+    Idle(Vec<usize>, u64),
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header(head.to_vec());
+    table
+}
+
+fn quantile(times: &mut [u64], share: f64) -> String {
+    times.sort_unstable();
+    let place = ((times.len() as f64 * share).ceil() as usize).clamp(1, times.len().max(1)) - 1;
+    times.get(place).map_or("-".to_owned(), u64::to_string)
+}
+
+pub fn measure(options: &Options) -> Result<(), String> {
+    let server = || options.server.clone().map_or_else(crate::demo::beside, Ok);
+    match &options.what {
+        What::Detection(counts, kills) => detection(&server()?, counts, *kills),
+        What::Virtual(counts, seeds) => virtual_time(counts, *seeds),
+        What::Loans(seconds) => loans(&server()?, *seconds),
+        What::Idle(counts, seconds) => idle(&server()?, counts, *seconds),
+    }
+}
+
+/// The rig's servers with the product's own times.
+fn usual(server: &std::path::Path, servers: usize) -> Rig {
+    let mut rig = Rig::new(server, servers);
+    rig.timing = "timing".to_owned();
+    rig.whole = 8 * servers as u32;
+    rig
+}
+
+fn detection(server: &std::path::Path, counts: &[usize], kills: usize) -> Result<(), String> {
+    let mut out = table(&[
+        "servers",
+        "kills",
+        "until one knows, p50 ms",
+        "until all know, p50 ms",
+        "p99 ms",
+        "most ms",
+    ]);
+    for &count in counts {
+        let mut fleet = Fleet::start(usual(server, count))?;
+        fleet.until_all("whole")?;
+        let (mut first, mut last) = (Vec::new(), Vec::new());
+        for kill in 0..kills {
+            let n = kill % count;
+            let at = umberloom_rig::history::now();
+            fleet.servers[n].kill();
+            let others: Vec<usize> = (0..count).filter(|other| *other != n).collect();
+            for other in &others {
+                fleet.until_holds(*other, n, "failed")?;
+            }
+            fleet.servers.iter_mut().for_each(umberloom_rig::server::Server::read_log);
+            let name = fleet.servers[n].name.clone();
+            let knew = others.iter().filter_map(|other| {
+                let said = fleet.history.said(&fleet.servers[*other].name, "member");
+                let fits = |e: &&umberloom_rig::history::Event| {
+                    e.at >= at && e.what["name"] == name.as_str() && e.what["to"] == "failed"
+                };
+                said.iter().find(fits).map(|e| (e.at - at) / 1_000)
+            });
+            let knew: Vec<u64> = knew.collect();
+            first.extend(knew.iter().min());
+            last.extend(knew.iter().max());
+            fleet.servers[n].start().map_err(|e| e.to_string())?;
+            fleet.until_all("whole")?;
+        }
+        let most = last.iter().max().map_or("-".to_owned(), u64::to_string);
+        out.add_row([
+            count.to_string(),
+            kills.to_string(),
+            quantile(&mut first, 0.5),
+            quantile(&mut last, 0.5),
+            quantile(&mut last, 0.99),
+            most,
+        ]);
+    }
+    println!("{out}");
+    Ok(())
+}
+
+fn as_it_is(_: &mut Config) {}
+
+fn virtual_time(counts: &[usize], seeds: u64) -> Result<(), String> {
+    let second = 1_000_000;
+    let mut kills = table(&[
+        "members",
+        "seeds",
+        "all know of a kill, p50 ms",
+        "p99 ms",
+        "views agree after a cut of 10 s in halves, p50 ms",
+        "most ms",
+        "bytes/s a member",
+        "messages/s a member",
+    ]);
+    let mut losses = table(&["members", "loss %", "member hours", "suspicions an hour", "failures an hour"]);
+    for &count in counts {
+        let (mut known, mut healed, mut bytes, mut messages) = (Vec::new(), Vec::new(), 0.0, 0.0);
+        for seed in 0..seeds {
+            let mut fleet = VirtualFleet::new(count, seed, as_it_is);
+            fleet.run(30 * second)?;
+            let before = (fleet.bytes, fleet.messages);
+            fleet.run(40 * second)?;
+            bytes += (fleet.bytes - before.0) as f64 / 10.0 / count as f64;
+            messages += (fleet.messages - before.1) as f64 / 10.0 / count as f64;
+            let at = fleet.now;
+            fleet.kill(1);
+            fleet.run(at + 30 * second)?;
+            let times = fleet.failed_at(1, at);
+            if times.len() < count - 1 {
+                return Err(format!(
+                    "seed {seed}: {} of {} know of the kill after 30 s",
+                    times.len(),
+                    count - 1
+                ));
+            }
+            known.extend(times.iter().map(|t| (t - at) / 1_000));
+            fleet.start(1);
+            fleet.run(fleet.now + 20 * second)?;
+            for a in 0..count / 2 {
+                for b in count / 2..count {
+                    fleet.cut.insert((a, b));
+                    fleet.cut.insert((b, a));
+                }
+            }
+            fleet.run(fleet.now + 10 * second)?;
+            fleet.cut.clear();
+            let agreed = fleet.until_agreed(60 * second)?;
+            healed.push(agreed.ok_or(format!("seed {seed}: views differ a minute after the cut"))? / 1_000);
+        }
+        let most = healed.iter().max().map_or("-".to_owned(), u64::to_string);
+        kills.add_row([
+            count.to_string(),
+            seeds.to_string(),
+            quantile(&mut known.clone(), 0.5),
+            quantile(&mut known, 0.99),
+            quantile(&mut healed, 0.5),
+            most,
+            format!("{:.0}", bytes / seeds as f64),
+            format!("{:.1}", messages / seeds as f64),
+        ]);
+        for loss in [0.0, 0.05, 0.2, 0.3] {
+            let mut fleet = VirtualFleet::new(count, 99, as_it_is);
+            fleet.run(30 * second)?;
+            fleet.network = Network { loss, ..Network::default() };
+            let from = fleet.now;
+            fleet.run(from + 60 * second)?;
+            let hours = 60.0 / 3_600.0 * count as f64;
+            // Each is told by everyone who hears of it: an accusation is counted once for each who holds it.
+            let (suspected, failed) = fleet.accusations(from);
+            let each = |n: usize| format!("{:.2}", n as f64 / (count - 1) as f64 / hours);
+            losses.add_row([
+                count.to_string(),
+                format!("{:.0}", loss * 100.0),
+                format!("{hours:.1}"),
+                each(suspected),
+                each(failed),
+            ]);
+        }
+    }
+    println!("{kills}\n\n{losses}");
+    Ok(())
+}
+
+fn loans(server: &std::path::Path, seconds: u64) -> Result<(), String> {
+    let mut out =
+        table(&["shared by", "served at the busy one", "not served", "calls at once, most", "survives"]);
+    for (name, cut) in [("loans", false), ("a number in the file", true)] {
+        let mut rig = Rig::new(server, 4);
+        (rig.whole, rig.takes_ms, rig.cut_parts) = (16, 60.0, cut);
+        let mut fleet = if cut { Fleet::start(rig)? } else { Fleet::whole(rig)? };
+        fleet.ask(24, Duration::from_secs(5));
+        fleet.traffic.iter().for_each(|traffic| traffic.set_gap(0, Duration::from_millis(1)));
+        std::thread::sleep(Duration::from_secs(seconds));
+        let asked = fleet.traffic.take().map(Traffic::finish).unwrap_or_default();
+        let busy =
+            |served: bool| asked.iter().filter(|a| a.server == 0 && (a.end == End::Served) == served).count();
+        out.add_row([
+            name.to_owned(),
+            busy(true).to_string(),
+            busy(false).to_string(),
+            fleet.most_in_use().to_string(),
+            fleet.options.whole.to_string(),
+        ]);
+    }
+    println!("{out}");
+    Ok(())
+}
+
+fn idle(server: &std::path::Path, counts: &[usize], seconds: u64) -> Result<(), String> {
+    let mut out = table(&["servers", "fleet", "% of a core a member", "KB/s a member sent"]);
+    for &count in counts {
+        for on in [false, true] {
+            let mut rig = usual(server, count);
+            rig.fleet = on;
+            let fleet = Fleet::start(rig)?;
+            if on {
+                fleet.until_all("whole")?;
+            }
+            std::thread::sleep(Duration::from_secs(3));
+            let cpu = |fleet: &Fleet| -> u64 { fleet.servers.iter().filter_map(|s| s.cpu_us()).sum() };
+            let sent = |fleet: &Fleet| -> u64 {
+                let pairs = (0..count).flat_map(|a| (0..count).map(move |b| (a, b))).filter(|(a, b)| a != b);
+                pairs.map(|(a, b)| fleet.direction(a, b).carried().1).sum()
+            };
+            let before = (cpu(&fleet), sent(&fleet));
+            std::thread::sleep(Duration::from_secs(seconds));
+            let each = (seconds as f64) * count as f64;
+            out.add_row([
+                count.to_string(),
+                if on { "on" } else { "off" }.to_owned(),
+                format!("{:.2}", (cpu(&fleet) - before.0) as f64 / each / 10_000.0),
+                format!("{:.1}", (sent(&fleet) - before.1) as f64 / each / 1_000.0),
+            ]);
+        }
+    }
+    println!("{out}");
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,9 @@
 mod demo;
 mod emulate;
 mod experiments;
+mod fleet;
+mod fleet_chart;
+mod fleet_measures;
 mod report;
 mod site;
 
@@ -17,6 +20,8 @@
     Demo(demo::Options),
     Budgets(u64),
     Outage(u64),
+    Fleet(fleet::Options),
+    Measure(fleet_measures::Options),
 }
 
 fn command_line() -> OptionParser<Command> {
@@ -54,13 +59,79 @@
         .to_options()
         .descr("What the budget of repeated attempts is worth in an outage, emulated")
         .command("outage");
-    construct!([demo, budgets, outage]).to_options().descr("Plays umberloom against stand-ins on loopback")
+    let (fleet, measure) = (fleet_command(), measure_command());
+    construct!([demo, budgets, outage, fleet, measure])
+        .to_options()
+        .descr("Plays umberloom against stand-ins on loopback")
+}
+
+fn server() -> impl Parser<Option<PathBuf>> {
+    let server = long("server").help("The program that serves; unless given, the one beside this");
+    server.argument::<PathBuf>("FILE").optional()
+}
+
+fn fleet_command() -> impl Parser<Command> {
+    let number = |name: &'static str, help: &'static str| long(name).help(help).argument::<u64>("N");
+    let file =
+        |name: &'static str, help: &'static str| long(name).help(help).argument::<PathBuf>("FILE").optional();
+    let server = server();
+    let servers = number("servers", "From 2 to 24").map(|n| n as usize).fallback(5).display_fallback();
+    let seconds = number("seconds", "How long it plays").fallback(20).display_fallback();
+    let seed = number("seed", "For all that is drawn").fallback(1).display_fallback();
+    let faults = long("faults")
+        .help("Kinds, with commas between: cut, part, weather, kill, pause, term, shared; or all, or none")
+        .argument::<String>("KINDS")
+        .fallback("all".to_owned())
+        .display_fallback();
+    let script = file("script", "Faults as lines, as a play prints them, in place of drawn ones");
+    let chart = file("chart", "Draw the time line here, as SVG");
+    let history = file("history", "Write down here all that happened, one JSON object a line");
+    construct!(fleet::Options { server, servers, seconds, seed, faults, script, chart, history })
+        .map(Command::Fleet)
+        .to_options()
+        .descr("Several servers under faults between them: time line and verdict")
+        .command("fleet")
+}
+
+fn measure_command() -> impl Parser<Command> {
+    use fleet_measures::What;
+    let counts = |unless_set: &[usize]| {
+        let help = "Numbers of servers, with commas between";
+        let parse = |text: String| text.split(',').map(str::parse::<usize>).collect::<Result<Vec<_>, _>>();
+        long("servers").help(help).argument::<String>("N,N").parse(parse).fallback(unless_set.to_vec())
+    };
+    let number = |name: &'static str, help: &'static str, unless_set: u64| {
+        long(name).help(help).argument::<u64>("N").fallback(unless_set)
+    };
+    let (servers, kills) = (counts(&[3, 8]), number("kills", "How many each", 10).map(|n| n as usize));
+    let detection =
+        construct!(What::Detection(servers, kills)).to_options().descr("From a kill to all knowing");
+    let detection = detection.command("detection");
+    let (servers, seeds) = (counts(&[24, 200]), number("seeds", "How many", 3));
+    let virtual_time =
+        construct!(What::Virtual(servers, seeds)).to_options().descr("Members on virtual time");
+    let virtual_time = virtual_time.command("virtual");
+    let seconds = number("seconds", "How long each", 10);
+    let loans =
+        seconds.map(What::Loans).to_options().descr("Uneven need, with loans and without").command("loans");
+    let (servers, seconds) = (counts(&[3, 8]), number("seconds", "How long each", 10));
+    let idle = construct!(What::Idle(servers, seconds)).to_options().descr("What knowing each other costs");
+    let idle = idle.command("idle");
+    let what = construct!([detection, virtual_time, loans, idle]);
+    let server = server();
+    construct!(fleet_measures::Options { server, what })
+        .map(Command::Measure)
+        .to_options()
+        .descr("Measurements of a fleet, as docs/measurements has them")
+        .command("measure")
 }
 
 fn main() -> ExitCode {
     let done = match command_line().run() {
         Command::Demo(options) => demo::play(&options),
         Command::Budgets(seeds) => experiments::budgets(seeds),
+        Command::Fleet(options) => fleet::play(&options),
+        Command::Measure(options) => fleet_measures::measure(&options),
         Command::Outage(seeds) => experiments::outage(seeds),
     };
     match done {
