--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -701,7 +701,8 @@
             }
         }
         if came.changed {
-            self.refresh(now);
+            // All changes of a moment at once: a start with many members brings one with each message.
+            self.look_at = self.look_at.min(now + LOOK_EVERY);
         }
     }
 
--- a/crates/rig/src/virtual_fleet.rs
+++ b/crates/rig/src/virtual_fleet.rs
@@ -86,13 +86,18 @@
 
     /// A process starts under this name, from nothing.
     pub fn start(&mut self, n: usize) {
+        // The start by the Unix clock, which is the same for all but for some skew.
+        let boot = 1_700_000_000_000_000 + self.now + self.random.random_range(0..1_000);
+        self.start_at(n, boot);
+    }
+
+    /// The same with a Unix clock that shows this.
+    pub fn start_at(&mut self, n: usize, boot: u64) {
         let others: Vec<&str> =
             self.names.iter().enumerate().filter(|(o, _)| *o != n).map(|(_, s)| s.as_str()).collect();
         let mut config = Config::new("virtual", &self.names[n], &others);
         (self.adjust)(&mut config);
         let (clock, seed) = (self.clock(n), self.random.random());
-        // The start by the Unix clock, which is the same for all but for some skew.
-        let boot = 1_700_000_000_000_000 + self.now + self.random.random_range(0..1_000);
         self.members[n] = Membership::new(clock, config, boot, seed).ok();
         self.plan(self.now, Due::Pass(n));
     }
--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -154,6 +154,25 @@
     sound(fleet);
 }
 
+#[test]
+fn a_suspicion_that_ran_out_while_its_holder_stood_still_can_still_be_refuted() {
+    let mut told = options(3);
+    told.timing = told.timing.replace("suspect-ms=600", "suspect-ms=2500");
+    let mut fleet = Fleet::whole(told).unwrap_or_else(|why| panic!("{why}"));
+    fleet.servers[2].stop(true);
+    fleet.until_holds(0, 2, "suspected").done();
+    fleet.servers[0].stop(true);
+    rest(300);
+    fleet.servers[2].stop(false);
+    // By now the time to refute is over, but for the one that stood still it has not passed.
+    rest(3_500);
+    fleet.servers[0].stop(false);
+    fleet.until_all("whole").done();
+    fleet.until_holds(0, 2, "present").done();
+    assert_eq!(held(&mut fleet, 0, 2, "failed"), 0);
+    sound(fleet);
+}
+
 #[test]
 fn a_pause_of_five_seconds_within_the_time_to_give_up_costs_nothing() {
     let mut told = options(3);
