--- a/crates/lab/src/fleet_measures.rs
+++ b/crates/lab/src/fleet_measures.rs
@@ -24,6 +24,8 @@
     Virtual(Vec<usize>, u64),
     /// What sharing by loans is worth under uneven need: seconds.
     Loans(u64),
+    /// Processor time of a request with the fleet on and off, in pairs: pairs, seconds each.
+    Cost(u64, u64),
     /// Processor time and bytes of members that only know each other: numbers of servers, seconds.
     Idle(Vec<usize>, u64),
 }
@@ -47,6 +49,7 @@
         What::Detection(counts, kills) => detection(&server()?, counts, *kills),
         What::Virtual(counts, seeds) => virtual_time(counts, *seeds),
         What::Loans(seconds) => loans(&server()?, *seconds),
+        What::Cost(pairs, seconds) => cost(&server()?, *pairs, *seconds),
         What::Idle(counts, seconds) => idle(&server()?, counts, *seconds),
     }
 }
@@ -217,6 +220,44 @@
     Ok(())
 }
 
+fn cost(server: &std::path::Path, pairs: u64, seconds: u64) -> Result<(), String> {
+    let mut out = table(&["pair", "off, µs a request", "on, µs a request", "on beside off, %"]);
+    let mut all = Vec::new();
+    for pair in 0..pairs {
+        let one = |on: bool| -> Result<f64, String> {
+            let mut rig = usual(server, 3);
+            rig.fleet = on;
+            let mut fleet = if on { Fleet::whole(rig)? } else { Fleet::start(rig)? };
+            fleet.ask(6, Duration::from_millis(4));
+            std::thread::sleep(Duration::from_secs(2));
+            let cpu = |fleet: &Fleet| -> u64 { fleet.servers.iter().filter_map(|s| s.cpu_us()).sum() };
+            let asked = |fleet: &Fleet| fleet.traffic.as_ref().map_or(0, |traffic| traffic.asked().len());
+            let before = (cpu(&fleet), asked(&fleet));
+            std::thread::sleep(Duration::from_secs(seconds));
+            Ok((cpu(&fleet) - before.0) as f64 / (asked(&fleet) - before.1).max(1) as f64)
+        };
+        // Which one comes first changes, so that a machine that slows down favours neither.
+        let (off, on) = if pair % 2 == 0 {
+            let off = one(false)?;
+            (off, one(true)?)
+        } else {
+            let on = one(true)?;
+            (one(false)?, on)
+        };
+        all.push((on / off - 1.0) * 100.0);
+        out.add_row([
+            pair.to_string(),
+            format!("{off:.1}"),
+            format!("{on:.1}"),
+            format!("{:+.1}", (on / off - 1.0) * 100.0),
+        ]);
+    }
+    println!("{out}");
+    let mean = all.iter().sum::<f64>() / all.len().max(1) as f64;
+    println!("mean {mean:+.1} %");
+    Ok(())
+}
+
 fn idle(server: &std::path::Path, counts: &[usize], seconds: u64) -> Result<(), String> {
     let mut out = table(&["servers", "fleet", "% of a core a member", "KB/s a member sent"]);
     for &count in counts {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -117,7 +117,11 @@
     let (servers, seconds) = (counts(&[3, 8]), number("seconds", "How long each", 10));
     let idle = construct!(What::Idle(servers, seconds)).to_options().descr("What knowing each other costs");
     let idle = idle.command("idle");
-    let what = construct!([detection, virtual_time, loans, idle]);
+    let (pairs, seconds) = (number("pairs", "How many", 5), number("seconds", "How long each", 6));
+    let cost =
+        construct!(What::Cost(pairs, seconds)).to_options().descr("Processor time of a request, on and off");
+    let cost = cost.command("cost");
+    let what = construct!([detection, virtual_time, loans, idle, cost]);
     let server = server();
     construct!(fleet_measures::Options { server, what })
         .map(Command::Measure)
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -74,6 +74,11 @@
     if let Some(operator) = &told.1 {
         let (dependencies, plans) = (operator.services.len(), operator.dependencies.plans.len());
         info!(log, "operator's file"; "dependencies" => dependencies, "plans" => plans);
+        if let Some(fleet) = &operator.fleet {
+            let (peers, shared) = (fleet.membership.peers.len(), fleet.shared.len());
+            info!(log, "fleet"; "name" => &fleet.membership.fleet, "listen" => %fleet.listen, "peers" => peers,
+                "shared" => shared);
+        }
     }
     lifecycle::serve(told, files, notices, log)
 }
@@ -90,7 +95,10 @@
     if let Some(path) = operator {
         let read = load_operator(&path, known.as_ref())?;
         let (dependencies, plans) = (read.services.len(), read.dependencies.plans.len());
-        println!("{}: sound, {dependencies} dependencies and {plans} plans", path.display());
+        let fleet = read.fleet.as_ref().map_or_else(String::new, |fleet| {
+            format!(", a fleet of {} that shares {}", fleet.membership.roster(), fleet.shared.len())
+        });
+        println!("{}: sound, {dependencies} dependencies and {plans} plans{fleet}", path.display());
     }
     Ok(())
 }
