A file without the fleet node is refused on SIGHUP; what does not fit is tested by its place

Measured: unit tests of limits and of what may change pass; the suspicion that runs out while its holder stands still is now tested with nothing waiting for it on wake.

--- a/crates/server/src/lifecycle/fleet.rs
+++ b/crates/server/src/lifecycle/fleet.rs
@@ -97,7 +97,9 @@
             (None, Some(new)) => {
                 Err(format!(":{}:{}: found a fleet, which needs a new start", new.place.0, new.place.1))
             }
-            // No file at all: the old plans stay in force too.
+            (Some(_), _) => {
+                Err(": found no fleet, and there was one: to leave it out needs a new start".to_owned())
+            }
             _ => Ok(()),
         };
     };
@@ -117,3 +119,77 @@
         None => Ok(()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(change: &[(&str, &str)]) -> Told {
+        let mut text = include_str!("../../../../deploy/fleet.kdl").to_owned();
+        for (part, other) in change {
+            assert!(text.contains(part), "{part}");
+            text = text.replacen(part, other, 1);
+        }
+        let operator = umberloom_operator::parse("fleet.kdl", &text, None).unwrap_or_else(|f| panic!("{f}"));
+        operator.fleet.expect("a fleet")
+    }
+
+    fn config(change: &[(&str, &str)]) -> Config {
+        let mut text = include_str!("../../../../deploy/example.json").to_owned();
+        change.iter().for_each(|(part, other)| text = text.replacen(part, other, 1));
+        Config::parse(text.as_bytes()).expect("sound")
+    }
+
+    #[test]
+    fn what_does_not_fit_the_limits_is_refused_by_its_place() {
+        let mut many = told(&[]);
+        many.membership.peers = vec![many.membership.peers[0].clone(); 100];
+        let cases = [
+            (told(&[]), config(&[]), None),
+            (
+                told(&[]),
+                config(&[("\"sockets\": 1024", "\"sockets\": 48")]),
+                Some("14 descriptors, expected 12 at most"),
+            ),
+            (
+                many,
+                config(&[("\"memory_mb\": 192", "\"memory_mb\": 17")]),
+                Some("2560 kb, expected 2176 at most"),
+            ),
+            (told(&[("127.0.0.1:7401", "127.0.0.1:10080")]), config(&[]), Some("where balancers connect")),
+        ];
+        for (told, config, wanted) in cases {
+            let found = misfit(&told, &config);
+            let place = format!("{}:{}: found", told.place.0, told.place.1);
+            let fits = match (&found, wanted) {
+                (None, None) => true,
+                (Some(said), Some(part)) => said.starts_with(&place) && said.contains(part),
+                _ => false,
+            };
+            assert!(fits, "{found:?}, wanted {wanted:?}");
+        }
+    }
+
+    #[test]
+    fn peers_and_what_is_shared_may_change_while_it_runs_and_no_more() {
+        let old = told(&[]);
+        let may =
+            [("127.0.0.1:7402", "127.0.0.1:7409"), ("calls=40", "calls=50"), ("loan-ms=2000", "loan-ms=900")];
+        for change in may {
+            assert_eq!(can_become(Some(&old), Some(&told(&[change]))), Ok(()), "{change:?}");
+        }
+        let may_not = [
+            ("127.0.0.1:7401", "127.0.0.1:7409", "listen"),
+            ("fleet \"desks\"", "fleet \"others\"", "name"),
+            ("secret \"change", "secret \"changed", "secret"),
+            ("zone \"west\"", "zone \"north\"", "zone"),
+            ("probe-ms=500", "probe-ms=400", "timing"),
+        ];
+        for (part, other, field) in may_not {
+            let said = can_become(Some(&old), Some(&told(&[(part, other)]))).expect_err(field);
+            assert!(said.contains(&format!("the fleet's {field} has changed")), "{said}");
+        }
+        assert!(can_become(None, Some(&old)).is_err() && can_become(Some(&old), None).is_err());
+        assert_eq!(can_become(None, None), Ok(()));
+    }
+}
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -331,9 +331,11 @@
     async fn reload(&mut self) {
         let read = self.files.load().and_then(|(new, operator)| {
             self.config.can_become(&new)?;
-            let (before, after) =
-                (self.fleet.as_ref().map(|f| &f.told), operator.as_ref().and_then(|o| o.fleet.as_ref()));
-            fleet::can_become(before, after).map_err(|why| format!("{}{why}", self.files.operator_name()))?;
+            let before = self.fleet.as_ref().map(|running| &running.told);
+            if let Some(operator) = &operator {
+                fleet::can_become(before, operator.fleet.as_ref())
+                    .map_err(|why| format!("{}{why}", self.files.operator_name()))?;
+            }
             Ok((new, operator))
         });
         match read {
--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -162,11 +162,16 @@
     fleet.servers[2].stop(true);
     fleet.until_holds(0, 2, "suspected").done();
     fleet.servers[0].stop(true);
+    // Nothing waits for it on wake that would tell it better before it looks at its timers.
+    fleet.change(1, 0, |faults| faults.cut = true);
+    fleet.change(2, 0, |faults| faults.cut = true);
     rest(300);
     fleet.servers[2].stop(false);
     // By now the time to refute is over, but for the one that stood still it has not passed.
     rest(3_500);
     fleet.servers[0].stop(false);
+    rest(200);
+    fleet.heal();
     fleet.until_all("whole").done();
     fleet.until_holds(0, 2, "present").done();
     assert_eq!(held(&mut fleet, 0, 2, "failed"), 0);
