Callers of the rig feel a change of need at once

Need: callers slept out the pause that they had begun, up to 5 s, so a need that came everywhere came late, and the test of a restart passed without the quiet time after a start.

--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -108,7 +108,7 @@
     fn call(&self, server: usize, listen: SocketAddr, over: &Over) {
         let mut line: Option<Balancer> = None;
         while !self.over.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_micros(self.gaps[server].load(Ordering::Relaxed)));
+            self.pause(server);
             let Some(balancer) = line.take().or_else(|| connect(listen)) else {
                 thread::sleep(Duration::from_millis(20));
                 continue;
@@ -117,6 +117,16 @@
         }
     }
 
+    /// Waits for the gap of a server, as it is by the end of it: a need that comes is felt at once.
+    fn pause(&self, server: usize) {
+        let start = Instant::now();
+        while !self.over.load(Ordering::SeqCst) {
+            let gap = Duration::from_micros(self.gaps[server].load(Ordering::Relaxed));
+            let Some(left) = gap.checked_sub(start.elapsed()) else { return };
+            thread::sleep(left.min(Duration::from_millis(20)));
+        }
+    }
+
     /// One request; the connection, if it can carry another.
     fn ask(&self, server: usize, mut balancer: Balancer, over: &Over) -> Option<Balancer> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
