--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -33,6 +33,24 @@
     said.iter().filter(|e| e.what["name"] == name.as_str() && e.what["to"] == state).count()
 }
 
+/// Three servers that stand whole, and a place for a second process named `n1`, whose address no file has.
+fn twins() -> Fleet {
+    let mut told = options(4);
+    told.names[3] = "n1".to_owned();
+    let mut fleet = Fleet::prepare(told).expect("a fleet");
+    for n in 0..4 {
+        // The others know one address of n1, and it leads to the first.
+        fleet.told_of[n] =
+            (0..3).filter(|o| *o != n && fleet.servers[*o].name != fleet.servers[n].name).collect();
+        fleet.servers[n].write_operator(&fleet.operator(n)).expect("written");
+    }
+    for n in 0..3 {
+        fleet.servers[n].start().expect("a process");
+    }
+    (0..3).for_each(|n| fleet.until_stands(n, "whole").done());
+    fleet
+}
+
 #[test]
 fn all_started_at_once_with_no_seed_up_find_each_other() {
     let fleet = whole(5);
@@ -212,19 +230,7 @@
 
 #[test]
 fn a_second_process_of_a_name_elsewhere_is_told_and_falls_silent() {
-    let mut told = options(4);
-    told.names[3] = "n1".to_owned();
-    let mut fleet = Fleet::prepare(told).expect("a fleet");
-    for n in 0..4 {
-        // The others know one address of n1, and it leads to the first.
-        fleet.told_of[n] =
-            (0..3).filter(|o| *o != n && fleet.servers[*o].name != fleet.servers[n].name).collect();
-        fleet.servers[n].write_operator(&fleet.operator(n)).expect("written");
-    }
-    for n in 0..3 {
-        fleet.servers[n].start().expect("a process");
-    }
-    (0..3).for_each(|n| fleet.until_stands(n, "whole").done());
+    let mut fleet = twins();
     fleet.servers[3].start().expect("a process");
     fleet.until("it to be told", |fleet| fleet.view(3).is_ok_and(|view| view["silenced"] == true)).done();
     (0..3).for_each(|n| fleet.until_stands(n, "whole").done());
@@ -238,18 +244,7 @@
 
 #[test]
 fn where_an_address_moved_the_later_process_has_the_name_and_the_earlier_is_told() {
-    let mut told = options(4);
-    told.names[3] = "n1".to_owned();
-    let mut fleet = Fleet::prepare(told).expect("a fleet");
-    for n in 0..4 {
-        fleet.told_of[n] =
-            (0..3).filter(|o| *o != n && fleet.servers[*o].name != fleet.servers[n].name).collect();
-        fleet.servers[n].write_operator(&fleet.operator(n)).expect("written");
-    }
-    for n in 0..3 {
-        fleet.servers[n].start().expect("a process");
-    }
-    (0..3).for_each(|n| fleet.until_stands(n, "whole").done());
+    let mut fleet = twins();
     for n in [1, 2] {
         fleet.relay(n, 0).lead(fleet.servers[3].fleet);
     }
