Members that rest or are silenced find each other again after the last fault

Looked at: no gossip timer was left at either. foca rests with nobody active, and after a renewal until somebody writes to it; the one message by which either would have begun again had been lost. Ruled out: clock rates, the shift of timers after a standstill, lost handshakes. Playing 4,500 more cases found a second cause: a new process that nothing reached for 3 s was silenced by the memory of a dead one, and a silent one could not prove itself.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -504,6 +504,7 @@
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
             self.beat(now);
+            self.mend(now);
             // Each look passes over all members: in large fleets it comes less often.
             self.look_at += LOOK_EVERY * (self.links.len() / 64) as Micros;
             self.refresh(now);
@@ -564,6 +565,34 @@
         }
     }
 
+    /// What gossip holds and what is heard directly are two sources, and the second is the surer one: a member that is
+    /// reached and yet held for failed is announced to again, and so is everyone while gossip rests. Without this two
+    /// members stay apart for ever once the one message is lost by which either would have begun again
+    /// (docs/incidents/apart-for-ever.md).
+    fn mend(&mut self, now: Micros) {
+        if self.silenced.is_some() {
+            return;
+        }
+        let (stale, every) = (self.config.stale(), self.config.beat().max(2 * self.config.timing.probe));
+        let rests = self.swim.rests();
+        let (swim, from) = (&self.swim, self.from);
+        let apart = |link: &&mut Link| {
+            link.named
+                && now >= link.mended + every
+                && link.is_reached(now, from, stale)
+                && (rests || !swim.holds(&link.name, link.boot))
+        };
+        let mut met = Vec::new();
+        for link in self.links.values_mut().filter(apart) {
+            link.mended = now;
+            met.push((link.name.clone(), link.boot));
+        }
+        for (name, boot) in met {
+            let came = self.swim.meet(now, &name, boot);
+            self.carry(now, came);
+        }
+    }
+
     fn ask(&mut self, now: Micros, name: &Name) {
         let fresh = self.random.next_u64();
         if let Some(number) = self.links.get_mut(name).and_then(|link| link.ask(now, fresh)) {
@@ -707,11 +736,13 @@
     }
 
     fn send(&mut self, now: Micros, to: &Name, body: Body, way: Way) {
-        let asks = matches!(body, Body::Hello(_));
+        // A silent one may ask, and prove itself when it is answered: the holder of its name may be gone, and without
+        // the proof it would be silent for ever.
+        let asks = matches!(body, Body::Hello(_) | Body::Ready(..));
         if self.gone || (self.silenced.is_some() && !asks) {
             return;
         }
-        let shakes = asks || matches!(body, Body::Welcome(..) | Body::Ready(..));
+        let shakes = asks || matches!(body, Body::Welcome(..));
         let (mine, stale) = (self.boot(), self.config.stale());
         let note = Note {
             hears_you_ms: u32::MAX,
--- a/crates/membership/src/session.rs
+++ b/crates/membership/src/session.rs
@@ -65,6 +65,8 @@
     pub about: About,
     /// Since when its view has differed from ours.
     pub differs: Option<Micros>,
+    /// When it was last announced to although both hear each other, because gossip holds otherwise.
+    pub mended: Micros,
 }
 
 /// What a message of a session that has not been proven asks for.
@@ -97,6 +99,7 @@
             note: None,
             about: About::default(),
             differs: None,
+            mended: 0,
         }
     }
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -203,6 +203,17 @@
         })
     }
 
+    /// Whether nothing is probed. `foca` rests once it holds nobody for active, and after it has come back under a
+    /// renewed identity until somebody writes to it: two members that both rest would do so for ever.
+    pub fn rests(&self) -> bool {
+        !self.timers.values().any(|timer| matches!(timer, Timer::ProbeRandomMember(_)))
+    }
+
+    /// Whether this process is held to be there.
+    pub fn holds(&self, name: &Name, boot: u64) -> bool {
+        self.members().any(|m| m.id().name == *name && m.id().boot == boot && m.state() != foca::State::Down)
+    }
+
     /// When the next timer is due.
     pub fn next_at(&self) -> Option<Micros> {
         self.timers.first_key_value().map(|((at, _), _)| *at)
--- a/crates/membership/tests/virtual_fleets.rs
+++ b/crates/membership/tests/virtual_fleets.rs
@@ -30,41 +30,63 @@
     Err(format!("{:?} after {} s", fleet.agree(), span / SECOND))
 }
 
+/// Drawn faults, then none: all views are equal and everyone stands whole within half a minute.
+fn faults_then_none(seed: u64, count: usize) -> Result<(), String> {
+    let mut fleet = VirtualFleet::new(count, seed, quick);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..12 {
+        fleet.run(fleet.now + random.random_range(100_000..2 * SECOND))?;
+        let (a, b) = (random.random_range(0..count), random.random_range(0..count));
+        match random.random_range(0..7) {
+            0 => drop(fleet.cut.insert((a, b))),
+            1 => fleet.cut.clear(),
+            2 => fleet.kill(a),
+            3 => fleet.start(a),
+            4 => fleet.pause(a, random.random_range(100_000..6 * SECOND)),
+            5 => {
+                let (loss, double) = (random.random_range(0.0..0.4), random.random_range(0.0..=1.0));
+                let damage = random.random_range(0.0..0.1);
+                let no_streams = random.random_bool(0.3);
+                fleet.network = Network { loss, double, damage, late: 80_000, no_streams };
+            }
+            _ => fleet.network = Network::default(),
+        }
+    }
+    fleet.network = Network::default();
+    fleet.cut.clear();
+    fleet.run(fleet.now + 6 * SECOND)?;
+    for n in 0..count {
+        if fleet.members[n].is_none() {
+            fleet.start(n);
+        }
+    }
+    whole_within(&mut fleet, 30 * SECOND)
+}
+
+/// Seeds that once failed (docs/incidents/apart-for-ever.md): gossip at rest at both ends after the one message was lost
+/// by which either would have begun again; and, in the other three, one told to be silent by the memory of a process
+/// that was gone, and then kept from proving itself by its silence.
+#[test]
+fn seeds_that_once_failed() {
+    let seeds = [
+        (12640709135243900975, 2),
+        (14098353150411445725, 2),
+        (3749455131101384760, 3),
+        (7341232129643189836, 2),
+    ];
+    for (seed, count) in seeds {
+        let settled = faults_then_none(seed, count);
+        assert!(settled.is_ok(), "seed {seed}, {count} members: {settled:?}");
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig::with_cases(24))]
 
-    /// Drawn faults, then none: all views are equal and everyone stands whole within half a minute.
+    /// Whatever is drawn, it ends in agreement.
     #[test]
     fn after_the_last_fault_all_views_are_equal(seed in any::<u64>(), count in 2usize..9) {
-        let mut fleet = VirtualFleet::new(count, seed, quick);
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        for _ in 0..12 {
-            fleet.run(fleet.now + random.random_range(100_000..2 * SECOND)).map_err(TestCaseError::fail)?;
-            let (a, b) = (random.random_range(0..count), random.random_range(0..count));
-            match random.random_range(0..7) {
-                0 => drop(fleet.cut.insert((a, b))),
-                1 => fleet.cut.clear(),
-                2 => fleet.kill(a),
-                3 => fleet.start(a),
-                4 => fleet.pause(a, random.random_range(100_000..6 * SECOND)),
-                5 => {
-                    let (loss, double) = (random.random_range(0.0..0.4), random.random_range(0.0..=1.0));
-                    let damage = random.random_range(0.0..0.1);
-                    let no_streams = random.random_bool(0.3);
-                    fleet.network = Network { loss, double, damage, late: 80_000, no_streams };
-                }
-                _ => fleet.network = Network::default(),
-            }
-        }
-        fleet.network = Network::default();
-        fleet.cut.clear();
-        fleet.run(fleet.now + 6 * SECOND).map_err(TestCaseError::fail)?;
-        for n in 0..count {
-            if fleet.members[n].is_none() {
-                fleet.start(n);
-            }
-        }
-        let settled = whole_within(&mut fleet, 30 * SECOND);
+        let settled = faults_then_none(seed, count);
         prop_assert!(settled.is_ok(), "{settled:?}");
     }
 
