--- a/crates/lab/src/fleet_measures.rs
+++ b/crates/lab/src/fleet_measures.rs
@@ -28,6 +28,8 @@
     Cost(u64, u64),
     /// Processor time and bytes of members that only know each other: numbers of servers, seconds.
     Idle(Vec<usize>, u64),
+    /// Accusations while one member has its core for a part of the time only: servers, percent, seconds.
+    Starved(usize, Vec<usize>, u64),
 }
 
 fn table(head: &[&str]) -> Table {
@@ -51,9 +53,60 @@
         What::Loans(seconds) => loans(&server()?, *seconds),
         What::Cost(pairs, seconds) => cost(&server()?, *pairs, *seconds),
         What::Idle(counts, seconds) => idle(&server()?, counts, *seconds),
+        What::Starved(servers, shares, seconds) => starved(&server()?, *servers, shares, *seconds),
     }
 }
 
+/// The last of the servers runs for so many percent of each half second, and is stopped for the rest.
+fn starved(server: &std::path::Path, servers: usize, shares: &[usize], seconds: u64) -> Result<(), String> {
+    const TURN_MS: u64 = 500;
+    let mut out = table(&[
+        "servers",
+        "core of the last, %",
+        "suspicions of it an hour, by each other",
+        "it held for failed an hour, by each",
+        "others held for failed by it an hour",
+        "others held for failed by others",
+        "its standing at the end",
+    ]);
+    for &share in shares {
+        let mut fleet = Fleet::start(usual(server, servers))?;
+        fleet.until_all("whole")?;
+        let (last, from) = (servers - 1, umberloom_rig::history::now());
+        let runs = Duration::from_millis(TURN_MS * share.min(100) as u64 / 100);
+        let end = std::time::Instant::now() + Duration::from_secs(seconds);
+        while std::time::Instant::now() < end {
+            fleet.servers[last].stop(true);
+            std::thread::sleep(Duration::from_millis(TURN_MS) - runs);
+            fleet.servers[last].stop(false);
+            std::thread::sleep(runs);
+        }
+        let stands = fleet.standing(last);
+        fleet.servers.iter_mut().for_each(umberloom_rig::server::Server::read_log);
+        let name = fleet.servers[last].name.clone();
+        let count = |by: &str, of_last: bool, to: &str| {
+            let said = fleet.history.said(by, "member");
+            let fits = |e: &&umberloom_rig::history::Event| {
+                e.at >= from && (e.what["name"] == name.as_str()) == of_last && e.what["to"] == to
+            };
+            said.iter().filter(fits).count()
+        };
+        let others = || fleet.servers[..last].iter().map(|s| s.name.as_str());
+        let hourly = |n: usize, by: usize| format!("{:.0}", n as f64 * 3_600.0 / seconds as f64 / by as f64);
+        out.add_row([
+            servers.to_string(),
+            share.to_string(),
+            hourly(others().map(|by| count(by, true, "suspected")).sum(), last),
+            hourly(others().map(|by| count(by, true, "failed")).sum(), last),
+            hourly(count(&name, false, "failed"), 1),
+            others().map(|by| count(by, false, "failed")).sum::<usize>().to_string(),
+            stands,
+        ]);
+    }
+    println!("{out}");
+    Ok(())
+}
+
 /// The rig's servers with the product's own times.
 fn usual(server: &std::path::Path, servers: usize) -> Rig {
     let mut rig = Rig::new(server, servers);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -117,11 +117,18 @@
     let (servers, seconds) = (counts(&[3, 8]), number("seconds", "How long each", 10));
     let idle = construct!(What::Idle(servers, seconds)).to_options().descr("What knowing each other costs");
     let idle = idle.command("idle");
+    let share = long("core").help("Percent of its core that the last one has").argument::<String>("N,N");
+    let parse = |text: String| text.split(',').map(str::parse::<usize>).collect::<Result<Vec<_>, _>>();
+    let share = share.parse(parse).fallback(vec![100, 50, 20, 5]);
+    let servers = number("servers", "How many", 5).map(|n| n.clamp(2, 24) as usize);
+    let seconds = number("seconds", "How long each", 60);
+    let starved = construct!(What::Starved(servers, share, seconds)).to_options();
+    let starved = starved.descr("Accusations while one member is starved of its core").command("starved");
     let (pairs, seconds) = (number("pairs", "How many", 5), number("seconds", "How long each", 6));
     let cost =
         construct!(What::Cost(pairs, seconds)).to_options().descr("Processor time of a request, on and off");
     let cost = cost.command("cost");
-    let what = construct!([detection, virtual_time, loans, idle, cost]);
+    let what = construct!([detection, virtual_time, loans, idle, starved, cost]);
     let server = server();
     construct!(fleet_measures::Options { server, what })
         .map(Command::Measure)
--- a/crates/server/tests/fleet_allowance.rs
+++ b/crates/server/tests/fleet_allowance.rs
@@ -109,7 +109,11 @@
     let status = fleet.servers[1].wait_until_ended().expect("it ends");
     assert!(status.success(), "{status}");
     fleet.servers[1].start().expect("a process");
+    // What it lent before its end is still in use, and it has need of its own now.
+    need_everywhere(&fleet);
     fleet.until("its part", |fleet| figure(fleet, 1, "part") == 4).done();
+    rest(700);
+    need(&fleet, 0);
     until_borrowed(&fleet, 0);
     sound(fleet);
 }
