Store package: batches that survive a power cut at any operation, on redb behind a seam

Rows by key in one redb file with two syncs a commit; each value has a digest; a file is looked at whole through an overlay that writes nothing before it is opened, so that damage is told by file and row and stays as it is; forms with ways up; a bound on bytes; a lock that ends with the process; a thread of its own with a bounded queue that takes nothing after a failure.

Tests play a scripted life with a power cut, a failure or a short write at every operation on a simulated disk that keeps any part of what was not synced, in any order; a disk that lies; flipped bits at rest and while running. Seen: the first text made the file under its own name, and a cut at operation 10 left it half made, which looked like damage; it is made beside it now. The test of members that start at once now loses their first words, as it passed without its defence.

--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -53,7 +53,15 @@
 
 #[test]
 fn all_started_at_once_with_no_seed_up_find_each_other() {
-    let fleet = whole(5);
+    // What they say first is lost: nobody is up yet for anybody.
+    let mut fleet = Fleet::prepare(options(5)).expect("a fleet");
+    fleet.set_all(Faults { cut: true, ..Faults::default() });
+    (0..5).for_each(|n| fleet.servers[n].start().expect("a process"));
+    (0..5).for_each(|n| fleet.servers[n].wait_until_well().done());
+    rest(500);
+    fleet.heal();
+    fleet.until_all("whole").done();
+    fleet.ask(2, Duration::from_millis(20));
     for (n, other) in [(0, 4), (4, 0), (2, 1)] {
         assert_eq!(fleet.holds(n, other), "present");
     }
--- /dev/null
+++ b/crates/store/src/disk.rs
@@ -0,0 +1,105 @@
+//! The seam between a store and the system: every operation on files is one method here.
+
+use std::any::Any;
+use std::fmt::Debug;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, ErrorKind};
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+use std::sync::Arc;
+
+/// An open file.
+pub trait Medium: Debug + Send + Sync {
+    /// Its length in bytes.
+    fn len(&self) -> io::Result<u64>;
+    /// Whether it has no bytes.
+    fn is_empty(&self) -> io::Result<bool> {
+        Ok(self.len()? == 0)
+    }
+    /// Fills `out` from there; an error where the file ends before.
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()>;
+    /// Cuts it or fills it up with zeros.
+    fn set_len(&self, len: u64) -> io::Result<()>;
+    /// Writes all of it there.
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()>;
+    /// Returns once all that was written is durable.
+    fn sync(&self) -> io::Result<()>;
+}
+
+/// What a store asks of the system.
+pub trait Disk {
+    /// Makes a folder with those above it; one that is there is fine, a file there is an error.
+    fn make_folder(&self, folder: &Path) -> io::Result<()>;
+    /// Takes a lock that ends with what is returned, or with the process however it ends. `WouldBlock`: it is taken.
+    fn lock(&self, file: &Path) -> io::Result<Box<dyn Any + Send>>;
+    /// Opens a file for reading and writing; `make` makes one that is not there.
+    fn open(&self, file: &Path, make: bool) -> io::Result<Arc<dyn Medium>>;
+    /// Whether there is anything under this name.
+    fn exists(&self, file: &Path) -> bool;
+    /// Gives a file another name.
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
+    /// Returns once the names in a folder are durable.
+    fn sync_folder(&self, folder: &Path) -> io::Result<()>;
+}
+
+/// The system's own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RealDisk;
+
+impl Disk for RealDisk {
+    fn make_folder(&self, folder: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(folder)
+    }
+
+    fn lock(&self, file: &Path) -> io::Result<Box<dyn Any + Send>> {
+        let file = OpenOptions::new().create(true).truncate(false).write(true).open(file)?;
+        match file.try_lock() {
+            Ok(()) => Ok(Box::new(file)),
+            Err(TryLockError::WouldBlock) => Err(ErrorKind::WouldBlock.into()),
+            Err(TryLockError::Error(why)) => Err(why),
+        }
+    }
+
+    fn open(&self, file: &Path, make: bool) -> io::Result<Arc<dyn Medium>> {
+        let file = OpenOptions::new().read(true).write(true).create(make).truncate(false).open(file)?;
+        Ok(Arc::new(RealFile(file)))
+    }
+
+    fn exists(&self, file: &Path) -> bool {
+        // One that can't be looked at is there for our purposes: it must not be written over.
+        file.symlink_metadata().map_or_else(|e| e.kind() != ErrorKind::NotFound, |_| true)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        std::fs::rename(from, to)
+    }
+
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
+        File::open(folder)?.sync_all()
+    }
+}
+
+#[derive(Debug)]
+struct RealFile(File);
+
+impl Medium for RealFile {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.metadata()?.len())
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read_exact_at(out, offset)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write_all_at(data, offset)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/store/src/writer.rs
@@ -0,0 +1,136 @@
+//! A thread of its own for a store: nobody who decides waits for a disk.
+//!
+//! Batches go in with a number, in a bounded queue; several that wait become one commit. After the first that fails all
+//! that follow are refused in their order, until the store has been opened anew: a later batch must never be there without
+//! the ones before it.
+
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::thread::JoinHandle;
+
+use crate::store::{Batch, Store};
+use crate::trouble::Trouble;
+
+/// Batches that become one commit at most.
+const TOGETHER: usize = 256;
+
+/// What is to be done.
+enum Job {
+    Commit(u64, Batch),
+    Scrub,
+    Compact,
+}
+
+/// What has been done.
+#[derive(Debug)]
+pub enum Done {
+    /// All batches up to this number are durable; how often it was synced so far, and bytes of all rows.
+    Durable(u64, u64),
+    /// From this number on nothing is durable; the thread takes no further batches.
+    Failed(u64, Trouble),
+    /// All rows were read: what was found.
+    Scrubbed(Result<(), Trouble>),
+}
+
+/// The thread's mailbox.
+#[derive(Debug)]
+pub struct Writer {
+    jobs: Option<SyncSender<Job>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    /// Starts the thread; `tell` is called there, and must not wait.
+    pub fn start(
+        store: Store,
+        queue: usize,
+        tell: impl Fn(Done) + Send + 'static,
+    ) -> std::io::Result<Writer> {
+        let (jobs, taken) = sync_channel(queue);
+        let thread =
+            std::thread::Builder::new().name("store".to_owned()).spawn(move || work(store, taken, tell))?;
+        Ok(Writer { jobs: Some(jobs), thread: Some(thread) })
+    }
+
+    fn give(&self, job: Job) -> Result<(), Job> {
+        let Some(jobs) = &self.jobs else { return Err(job) };
+        jobs.try_send(job).map_err(|e| match e {
+            TrySendError::Full(job) | TrySendError::Disconnected(job) => job,
+        })
+    }
+
+    /// Asks for a commit; `Err` gives the batch back: the queue is full or the thread has ended.
+    pub fn commit(&self, number: u64, batch: Batch) -> Result<(), Batch> {
+        self.give(Job::Commit(number, batch)).map_err(|job| match job {
+            Job::Commit(_, batch) => batch,
+            _ => Batch::new(),
+        })
+    }
+
+    /// Asks for a reading of all rows; whether there was room for that.
+    pub fn scrub(&self) -> bool {
+        self.give(Job::Scrub).is_ok()
+    }
+
+    /// Asks for what is free to be given back; whether there was room for that.
+    pub fn compact(&self) -> bool {
+        self.give(Job::Compact).is_ok()
+    }
+
+    /// Ends the thread once all that was asked for is done.
+    pub fn finish(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.jobs = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn work(mut store: Store, jobs: Receiver<Job>, tell: impl Fn(Done)) {
+    let mut failed = false;
+    let mut next = jobs.recv().ok();
+    while let Some(job) = next.take() {
+        match job {
+            Job::Commit(number, batch) => {
+                let (mut last, mut all, mut count) = (number, batch, 1);
+                while count < TOGETHER {
+                    match jobs.try_recv() {
+                        Ok(Job::Commit(number, more)) => {
+                            (last, all) = (number, all.then(more));
+                            count += 1;
+                        }
+                        Ok(other) => {
+                            next = Some(other);
+                            break;
+                        }
+                        Err(_) => break,
+                    }
+                }
+                if !failed {
+                    match store.commit(all) {
+                        Ok(generation) => tell(Done::Durable(last, generation)),
+                        Err(why) => {
+                            failed = true;
+                            tell(Done::Failed(number, why));
+                        }
+                    }
+                }
+            }
+            Job::Scrub => tell(Done::Scrubbed(store.scrub())),
+            // What is free stays free if it can't be given back now.
+            Job::Compact => drop(store.compact()),
+        }
+        if next.is_none() {
+            next = jobs.recv().ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/tests/faults.rs
@@ -0,0 +1,296 @@
+//! A scripted life of a store, with something wrong at every single operation of it in turn.
+
+use std::io::ErrorKind;
+use std::path::Path;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use umberloom_store::disk::{Disk, RealDisk};
+use umberloom_store::simulated::{Faults, SimulatedDisk};
+use umberloom_store::writer::{Done, Writer};
+use umberloom_store::{Batch, Config, Store, Trouble};
+
+const COMMITS: u64 = 8;
+
+fn config() -> Config {
+    Config { most: 1 << 20, ..Config::new("store") }
+}
+
+/// The batch that makes the state after so many commits: all rows say the same number, so that a mixture shows.
+fn batch(n: u64) -> Batch {
+    let value =
+        |row: u64| [&n.to_le_bytes()[..], &vec![row as u8; 40 + (row * n * 97 % 3_000) as usize]].concat();
+    let rows = (0..6).fold(Batch::new(), |batch, row| batch.put(1, &[row as u8], &value(row)));
+    // A log that grows and is cut at its start.
+    let rows = rows.put(2, &n.to_be_bytes(), &n.to_le_bytes());
+    rows.remove_range(2, &0u64.to_be_bytes(), &n.saturating_sub(3).to_be_bytes())
+}
+
+/// Which state a store is in; a mixture is an error.
+fn state(store: &Store) -> Result<u64, String> {
+    let rows = store.range(1, &[], None, usize::MAX).map_err(|e| e.to_string())?;
+    let said: Vec<u64> =
+        rows.iter().map(|(_, v)| u64::from_le_bytes(v[..8].try_into().expect("8 bytes"))).collect();
+    let n = said.first().copied().unwrap_or(0);
+    if said.iter().any(|other| *other != n) || (n > 0 && rows.len() != 6) {
+        return Err(format!("a mixture: {said:?}"));
+    }
+    let log = store.range(2, &[], None, usize::MAX).map_err(|e| e.to_string())?;
+    let log: Vec<u64> =
+        log.iter().map(|(k, _)| u64::from_be_bytes(k[..].try_into().expect("8 bytes"))).collect();
+    let wanted: Vec<u64> = (n.saturating_sub(3).max(1)..=n).filter(|_| n > 0).collect();
+    if log != wanted || store.generation() != n {
+        return Err(format!("state {n}, log {log:?}, generation {}", store.generation()));
+    }
+    Ok(n)
+}
+
+/// Plays the life up to the first error; how many commits returned.
+fn live(disk: &SimulatedDisk) -> (u64, Option<Trouble>) {
+    let mut acked = 0;
+    let mut play = || -> Result<(), Trouble> {
+        let mut store = Store::open(disk, &config())?;
+        acked = store.generation();
+        while acked < COMMITS {
+            store.commit(batch(acked + 1))?;
+            acked += 1;
+            if acked == COMMITS / 2 {
+                store.compact()?;
+                store.scrub()?;
+                drop(store);
+                store = Store::open(disk, &config())?;
+            }
+        }
+        Ok(())
+    };
+    let ended = play().err();
+    (acked, ended)
+}
+
+/// Operations of a life in which nothing goes wrong.
+fn operations() -> u64 {
+    let disk = SimulatedDisk::new(0);
+    assert_eq!(live(&disk).0, COMMITS);
+    disk.operations()
+}
+
+/// At each operation: what the fault is, whether the power is cut afterwards, and what then must be found.
+fn at_each(name: &str, step: usize, fault: impl Fn(u64) -> Faults, cut: bool) {
+    for at in (1..=operations()).step_by(step) {
+        let disk = SimulatedDisk::new(at);
+        disk.set(fault(at));
+        let (acked, _) = live(&disk);
+        if cut {
+            disk.cut_power();
+        }
+        disk.set(Faults::default());
+        let store = Store::open(&disk, &config()).unwrap_or_else(|e| panic!("{name} at {at}: {e}"));
+        let found = state(&store).unwrap_or_else(|why| panic!("{name} at {at}: {why}"));
+        // The last that returned, or one more whose answer did not come.
+        assert!((acked..=acked + 1).contains(&found), "{name} at {at}: {acked} returned, {found} found");
+        drop(store);
+        assert_eq!(live(&disk).0, COMMITS, "{name} at {at}: it goes on");
+    }
+}
+
+#[test]
+fn a_power_cut_at_any_operation_leaves_the_last_commit_or_the_one_under_way() {
+    at_each("power cut", 1, |at| Faults { power_cut_at: Some(at), ..Faults::default() }, true);
+}
+
+#[test]
+fn an_operation_that_fails_or_is_cut_short_leaves_a_whole_state() {
+    for kind in [ErrorKind::StorageFull, ErrorKind::Other] {
+        at_each("failure", 3, |at| Faults { fails: Some((at, kind)), ..Faults::default() }, false);
+    }
+    at_each("cut short", 2, |at| Faults { cut_short_at: Some(at), ..Faults::default() }, true);
+}
+
+#[test]
+fn a_disk_that_lies_about_syncs_is_found_out_or_older_never_mixed() {
+    let (mut older, mut damaged) = (0, 0);
+    for seed in 0..120 {
+        let disk = SimulatedDisk::new(seed);
+        let mut store = Store::open(&disk, &config()).expect("new");
+        (1..=4).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+        disk.set(Faults { syncs_lie: true, ..Faults::default() });
+        (5..=7).for_each(|n| drop(store.commit(batch(n)).expect("told to be durable")));
+        disk.cut_power();
+        drop(store);
+        match Store::open(&disk, &config()) {
+            Ok(store) => {
+                // What was truly synced is there or the file says that it is damaged.
+                let found = state(&store).unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+                assert!((4..=7).contains(&found), "seed {seed}: {found}");
+                older += u32::from(found < 7);
+            }
+            Err(why) => {
+                assert!(why.is_damage(), "seed {seed}: {why}");
+                damaged += 1;
+            }
+        }
+    }
+    // Generations tell the first from what was; the second is told by itself. Both were met.
+    assert!(older > 0 && damaged > 0, "{older} older, {damaged} damaged");
+}
+
+#[test]
+fn a_flipped_bit_is_found_before_anything_is_written_over_it() {
+    let disk = SimulatedDisk::new(3);
+    assert_eq!(live(&disk).0, COMMITS);
+    let (file, sound) = (config().file(), disk.image());
+    let mut found = 0;
+    let places = (0..disk.length(&file)).step_by(1_009);
+    for byte in places.clone() {
+        disk.put_back(sound.clone());
+        disk.flip(&file, byte, (byte % 8) as u8);
+        let flipped = disk.image();
+        match Store::open(&disk, &config()) {
+            Ok(store) => assert_eq!(state(&store), Ok(COMMITS), "byte {byte}"),
+            Err(why) => {
+                assert!(
+                    why.is_damage() && why.to_string().starts_with("store/rows.redb: damaged at"),
+                    "{why}"
+                );
+                assert!(disk.image() == flipped, "byte {byte}: it was written to");
+                found += 1;
+            }
+        }
+    }
+    assert!(found > 5, "{found} of {} places", places.count());
+    // Set aside it stays as it is, and a new one begins.
+    let aside = Store::set_aside(&disk, &config()).expect("set aside");
+    assert_eq!(aside, Path::new("store/rows.redb.aside-1"));
+    let store = Store::open(&disk, &config()).expect("a new one");
+    assert_eq!((store.generation(), disk.exists(&aside)), (0, true));
+}
+
+#[test]
+fn a_bit_that_turns_over_while_it_runs_is_found_by_reading_or_by_a_scrub() {
+    let disk = SimulatedDisk::new(3);
+    let mut store = Store::open(&disk, &config()).expect("new");
+    (1..=COMMITS).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+    assert!(store.scrub().is_ok());
+    let file = config().file();
+    let mut found = 0;
+    for byte in (0..disk.length(&file)).step_by(211) {
+        disk.flip(&file, byte, 1);
+    }
+    found += u32::from(store.scrub().is_err_and(|e| e.is_damage()));
+    drop(store);
+    found += u32::from(Store::open(&disk, &config()).is_err_and(|e| e.is_damage()));
+    assert!(found > 0, "neither a scrub nor a start has found it");
+}
+
+#[test]
+fn what_stands_in_the_way_is_told_and_changes_nothing() {
+    let disk = SimulatedDisk::new(1);
+    let store = Store::open(&disk, &config()).expect("new");
+    let second = Store::open(&disk, &config()).expect_err("locked");
+    assert_eq!(second.to_string(), "store/lock: another process has it open");
+    drop(store);
+
+    // A newer program has written it: refused, as it is.
+    let newer = Config { form: 2, migrations: vec![|_| Ok(Batch::new())], ..config() };
+    drop(Store::open(&disk, &newer).expect("migrated"));
+    let refused = Store::open(&disk, &config()).expect_err("newer");
+    assert_eq!(refused.to_string(), "store/rows.redb: form 2, this program knows up to 1");
+
+    let full = SimulatedDisk::new(1);
+    let mut store = Store::open(&full, &Config { most: 4_000, ..config() }).expect("new");
+    store.commit(Batch::new().put(1, b"a", &[7; 3_000])).expect("room");
+    let why = store.commit(Batch::new().put(1, b"b", &[7; 3_000])).expect_err("no room");
+    assert!(matches!(why, Trouble::Full { most: 4_000, .. }), "{why}");
+    store.commit(Batch::new().remove(1, b"a")).expect("taking out is always possible");
+    store.commit(Batch::new().put(1, b"b", &[7; 3_000])).expect("room again");
+
+    let file = SimulatedDisk::new(1);
+    file.open(Path::new("store"), true).expect("a file");
+    let why = Store::open(&file, &config()).expect_err("no folder");
+    assert_eq!(why.to_string(), "store: expected a folder");
+
+    let read_only = SimulatedDisk::new(1);
+    read_only.set(Faults { all_writes_fail: Some(ErrorKind::ReadOnlyFilesystem), ..Faults::default() });
+    let why = Store::open(&read_only, &config()).expect_err("read only");
+    assert!(why.to_string().starts_with("store: make the folder: "), "{why}");
+}
+
+#[test]
+fn a_form_is_brought_up_step_by_step_and_a_power_cut_on_the_way_loses_nothing() {
+    let two: umberloom_store::Migration = |store| {
+        let old = store.get(1, b"name")?.unwrap_or_default();
+        Ok(Batch::new().put(1, b"name", &[&old[..], b"+2"].concat()))
+    };
+    let three: umberloom_store::Migration = |store| {
+        let old = store.get(1, b"name")?.unwrap_or_default();
+        Ok(Batch::new().put(1, b"name", &[&old[..], b"+3"].concat()))
+    };
+    let newer = Config { form: 3, migrations: vec![two, three], ..config() };
+    let mut at = 0;
+    loop {
+        at += 1;
+        let disk = SimulatedDisk::new(at);
+        let mut store = Store::open(&disk, &config()).expect("form 1");
+        store.commit(Batch::new().put(1, b"name", b"1")).expect("durable");
+        drop(store);
+        let before = disk.operations();
+        disk.set(Faults { power_cut_at: Some(before + at), ..Faults::default() });
+        let through = Store::open(&disk, &newer).is_ok();
+        disk.cut_power();
+        let store = Store::open(&disk, &newer).expect("form 3");
+        assert_eq!(store.get(1, b"name").expect("sound"), Some(b"1+2+3".to_vec()), "cut at {at}");
+        if through {
+            break;
+        }
+    }
+    assert!(at > 10, "{at} operations");
+}
+
+#[test]
+fn the_thread_keeps_the_order_and_takes_nothing_after_a_failure() {
+    let disk = SimulatedDisk::new(1);
+    let (told, heard) = mpsc::channel();
+    let store = Store::open(&disk, &config()).expect("new");
+    let writer = Writer::start(store, 64, move |done| drop(told.send(done))).expect("a thread");
+    for n in 1..=5 {
+        writer.commit(n, Batch::new().put(1, b"n", &n.to_le_bytes())).expect("room");
+    }
+    let durable = |wanted: u64| loop {
+        match heard.recv_timeout(Duration::from_secs(20)).expect("an answer") {
+            Done::Durable(n, _) if n == wanted => return,
+            Done::Durable(..) => {}
+            other => panic!("{other:?}"),
+        }
+    };
+    durable(5);
+    disk.set(Faults { all_writes_fail: Some(ErrorKind::StorageFull), ..Faults::default() });
+    writer.commit(6, Batch::new().put(1, b"n", &6u64.to_le_bytes())).expect("room");
+    let failed = heard.recv_timeout(Duration::from_secs(20)).expect("an answer");
+    assert!(matches!(failed, Done::Failed(6, Trouble::Io { .. })), "{failed:?}");
+    disk.set(Faults::default());
+    writer.commit(7, Batch::new().put(1, b"n", &7u64.to_le_bytes())).expect("room");
+    assert!(writer.scrub());
+    let scrubbed = heard.recv_timeout(Duration::from_secs(20)).expect("an answer");
+    assert!(matches!(scrubbed, Done::Scrubbed(_)), "batch 7 was taken: {scrubbed:?}");
+    writer.finish();
+    let store = Store::open(&disk, &config()).expect("opened anew");
+    assert_eq!(store.get(1, b"n").expect("sound"), Some(5u64.to_le_bytes().to_vec()));
+}
+
+#[test]
+fn on_the_system_s_own_disk_it_is_the_same() {
+    let folder = std::env::temp_dir().join(format!("umberloom-store-{}", std::process::id()));
+    let config = Config { most: 1 << 20, ..Config::new(&folder) };
+    let mut store = Store::open(&RealDisk, &config).expect("new");
+    (1..=COMMITS).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+    assert!(matches!(Store::open(&RealDisk, &config), Err(Trouble::Locked(_))));
+    drop(store);
+    let mut store = Store::open(&RealDisk, &config).expect("again");
+    assert_eq!((state(&store), store.scrub().is_ok()), (Ok(COMMITS), true));
+    drop(store);
+    std::fs::write(config.file(), b"no store at all, but long enough to be looked at").expect("written");
+    assert!(Store::open(&RealDisk, &config).is_err_and(|e| e.is_damage()));
+    Store::set_aside(&RealDisk, &config).expect("set aside");
+    assert_eq!(Store::open(&RealDisk, &config).expect("a new one").generation(), 0);
+    let _ = std::fs::remove_dir_all(folder);
+}
