Record package: a replicated log on raft with learners, catch-up, witnesses and compared copies

Pure: time, chance and disk come from the host.

Virtual records (crates/rig) run 3 to 7 of them with simulated disks, cuts, losses, kills, power cuts, lost and old disks; what clients saw is checked for linearizability by a checker that can fail.

No server uses it yet.

--- /dev/null
+++ b/crates/record/src/log.rs
@@ -0,0 +1,343 @@
+//! The library's storage: what is in memory is what the disk has or will have, and each change gives the batch for it.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot, SnapshotMetadata};
+use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
+use serde::{Deserialize, Serialize};
+use umberloom_store::{Batch, Row};
+
+use crate::entry::{digest, Digest};
+
+/// The spaces of the store: what this copy is, the log by index, the snapshot in pieces, pieces that are still coming.
+pub const SPACES: [u8; 4] = [1, 2, 3, 4];
+const COPY: u8 = SPACES[0];
+const ENTRIES: u8 = SPACES[1];
+const SNAPSHOT: u8 = SPACES[2];
+const COMING: u8 = SPACES[3];
+/// Bytes of one piece of a snapshot, on disk and between members.
+pub const PIECE: usize = 32 << 10;
+
+/// Snapshots from before that are kept in memory.
+const OLDER: usize = 2;
+
+/// Which copy this is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// The record; 0 while it has joined none.
+    pub record: u64,
+    /// Its own number, drawn when it began; 0 is none.
+    pub id: u64,
+    /// The server that it belongs to, so that a folder that was copied to another is seen.
+    pub name: String,
+    /// How often a process has begun with it.
+    pub starts: u64,
+}
+
+/// A snapshot's identity, as it goes to others in place of the bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// Of all bytes.
+    pub digest: Digest,
+    /// How many.
+    pub length: u64,
+}
+
+impl Manifest {
+    /// Of these bytes.
+    pub fn of(bytes: &[u8]) -> Manifest {
+        Manifest { digest: digest(&[bytes]), length: bytes.len() as u64 }
+    }
+
+    /// In how many pieces it goes.
+    pub fn pieces(&self) -> u32 {
+        (self.length as usize).div_ceil(PIECE) as u32
+    }
+}
+
+/// What a store holds of a record.
+#[derive(Clone, Debug, Default)]
+pub struct Image {
+    /// Which copy.
+    pub copy: Copy,
+    hard: HardState,
+    meta: SnapshotMetadata,
+    /// The state of the snapshot.
+    pub state: Vec<u8>,
+    entries: VecDeque<Entry>,
+    /// Pieces that had come of a snapshot under way.
+    pub coming: Vec<(Digest, u32, Vec<u8>)>,
+}
+
+impl Image {
+    /// From all rows of [`SPACES`]; `Ok(None)`: there is no copy; an error says what makes no sense.
+    pub fn read(rows: impl Fn(u8) -> Vec<Row>) -> Result<Option<Image>, String> {
+        let (mut image, mut found) = (Image::default(), false);
+        for (name, value) in rows(COPY) {
+            match name.as_slice() {
+                b"copy" => {
+                    image.copy = postcard::from_bytes(&value).map_err(|e| format!("copy: {e}"))?;
+                    found = true;
+                }
+                b"hard" => {
+                    image.hard = HardState::parse_from_bytes(&value).map_err(|e| format!("hard: {e}"))?
+                }
+                b"snapshot" => {
+                    image.meta =
+                        SnapshotMetadata::parse_from_bytes(&value).map_err(|e| format!("snapshot: {e}"))?;
+                }
+                _ => {}
+            }
+        }
+        image.state = rows(SNAPSHOT).into_iter().flat_map(|(_, piece)| piece).collect();
+        for (_, value) in rows(ENTRIES) {
+            let entry = Entry::parse_from_bytes(&value).map_err(|e| format!("an entry: {e}"))?;
+            let wanted = image.entries.back().map_or(image.meta.index + 1, |last| last.index + 1);
+            if entry.index != wanted && entry.index > image.meta.index {
+                return Err(format!("entry {} where {wanted} was expected", entry.index));
+            }
+            if entry.index > image.meta.index {
+                image.entries.push_back(entry);
+            }
+        }
+        for (name, piece) in rows(COMING) {
+            if let Some((digest, number)) = name.split_first_chunk::<16>() {
+                let number = number.try_into().map(u32::from_be_bytes).unwrap_or(u32::MAX);
+                image.coming.push((*digest, number, piece));
+            }
+        }
+        Ok(found.then_some(image))
+    }
+
+    /// The last entry, and the term that it had seen.
+    pub fn last(&self) -> (u64, u64) {
+        (self.hard.term, self.entries.back().map_or(self.meta.index, |e| e.index))
+    }
+}
+
+/// The row that says which copy this is.
+pub fn copy_batch(copy: &Copy) -> Batch {
+    Batch::new().put(COPY, b"copy", &postcard::to_allocvec(copy).unwrap_or_default())
+}
+
+/// The row of a piece that has come.
+pub fn coming_batch(of: &Digest, number: u32, bytes: &[u8]) -> Batch {
+    Batch::new().put(COMING, &[&of[..], &number.to_be_bytes()].concat(), bytes)
+}
+
+/// The log in memory.
+#[derive(Debug, Default)]
+pub struct Log {
+    hard: HardState,
+    conf: ConfState,
+    meta: SnapshotMetadata,
+    state: Rc<Vec<u8>>,
+    manifest: Manifest,
+    /// Snapshots from before, for those who still fetch one of them.
+    older: VecDeque<(Digest, Rc<Vec<u8>>)>,
+    entries: VecDeque<Entry>,
+    /// Somebody needs a snapshot that is newer than ours.
+    wanted: Cell<bool>,
+}
+
+impl Log {
+    /// A new record's, whose first state is known to its founder alone.
+    pub fn found(founder: u64, state: Vec<u8>) -> (Log, Batch) {
+        let mut log = Log::default();
+        log.hard.term = 1;
+        log.hard.commit = 1;
+        let mut conf = ConfState::default();
+        conf.voters.push(founder);
+        let mut meta = SnapshotMetadata::default();
+        (meta.index, meta.term) = (1, 1);
+        meta.set_conf_state(conf);
+        let batch = log.put_snapshot(meta, Rc::new(state)).then(log.hard_batch());
+        (log, batch)
+    }
+
+    /// As it was on disk.
+    pub fn load(image: Image) -> Log {
+        let Image { mut hard, meta, state, entries, .. } = image;
+        // A commit index alone is not made durable, and a snapshot is of what was agreed on.
+        hard.commit = hard.commit.max(meta.index);
+        let conf = meta.get_conf_state().clone();
+        let manifest = Manifest::of(&state);
+        Log { hard, conf, meta, state: Rc::new(state), manifest, entries, ..Log::default() }
+    }
+
+    fn hard_batch(&self) -> Batch {
+        Batch::new().put(COPY, b"hard", &self.hard.write_to_bytes().unwrap_or_default())
+    }
+
+    /// Takes up what a step of the library wants to be durable.
+    pub fn append(&mut self, entries: Vec<Entry>, hard: Option<&HardState>) -> Batch {
+        let mut batch = Batch::new();
+        if let Some(first) = entries.first().map(|e| e.index) {
+            let known = self.last();
+            // What stood there before was never committed.
+            self.entries.truncate((first.saturating_sub(self.meta.index + 1)) as usize);
+            if known >= first {
+                batch = batch.remove_range(ENTRIES, &first.to_be_bytes(), &(known + 1).to_be_bytes());
+            }
+        }
+        for entry in entries {
+            batch =
+                batch.put(ENTRIES, &entry.index.to_be_bytes(), &entry.write_to_bytes().unwrap_or_default());
+            self.entries.push_back(entry);
+        }
+        if let Some(hard) = hard {
+            self.hard = hard.clone();
+            batch = batch.then(self.hard_batch());
+        }
+        batch
+    }
+
+    /// Who votes and learns from now on.
+    pub fn set_conf(&mut self, conf: ConfState) {
+        self.conf = conf;
+    }
+
+    /// Who votes and learns.
+    pub fn conf(&self) -> &ConfState {
+        &self.conf
+    }
+
+    /// Replaces everything up to its index by a snapshot that came.
+    pub fn install(&mut self, meta: SnapshotMetadata, state: Rc<Vec<u8>>) -> Batch {
+        let (first, last) = (self.meta.index, self.last());
+        self.entries.clear();
+        self.hard.commit = self.hard.commit.max(meta.index);
+        self.hard.term = self.hard.term.max(meta.term);
+        let gone = Batch::new().remove_range(ENTRIES, &first.to_be_bytes(), &(last + 1).to_be_bytes());
+        let done = gone.remove_range(COMING, &[0], &[255; 21]);
+        done.then(self.put_snapshot(meta, state)).then(self.hard_batch())
+    }
+
+    fn put_snapshot(&mut self, meta: SnapshotMetadata, state: Rc<Vec<u8>>) -> Batch {
+        self.conf = meta.get_conf_state().clone();
+        let row = meta.write_to_bytes().unwrap_or_default();
+        let mut batch = Batch::new().remove_range(SNAPSHOT, &[0], &[255; 5]).put(COPY, b"snapshot", &row);
+        for (number, piece) in (0u32..).zip(state.chunks(PIECE)) {
+            batch = batch.put(SNAPSHOT, &number.to_be_bytes(), piece);
+        }
+        self.older.push_back((self.manifest.digest, self.state.clone()));
+        if self.older.len() > OLDER {
+            self.older.pop_front();
+        }
+        (self.meta, self.manifest, self.state) = (meta, Manifest::of(&state), state);
+        batch
+    }
+
+    /// Makes a snapshot of the state after `applied`, and takes the entries up to there out.
+    pub fn compact(&mut self, applied: u64, state: Vec<u8>) -> Batch {
+        let Ok(term) = self.term(applied) else { return Batch::new() };
+        self.wanted.set(false);
+        let first = self.meta.index + 1;
+        self.entries.drain(..(applied - self.meta.index) as usize);
+        let mut meta = SnapshotMetadata::default();
+        (meta.index, meta.term) = (applied, term);
+        meta.set_conf_state(self.conf.clone());
+        let gone = Batch::new().remove_range(ENTRIES, &first.to_be_bytes(), &(applied + 1).to_be_bytes());
+        gone.then(self.put_snapshot(meta, Rc::new(state)))
+    }
+
+    /// Whether a member waits for a newer snapshot.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.get()
+    }
+
+    /// The last entry.
+    pub fn last(&self) -> u64 {
+        self.entries.back().map_or(self.meta.index, |e| e.index)
+    }
+
+    /// Entries since the snapshot, and their bytes.
+    pub fn size(&self) -> (u64, u64) {
+        let bytes = self.entries.iter().map(|e| e.data.len() as u64).sum();
+        (self.entries.len() as u64, bytes)
+    }
+
+    /// The term that is durable, and the vote.
+    pub fn hard(&self) -> &HardState {
+        &self.hard
+    }
+
+    /// The snapshot: its index, what it is known by, and its bytes.
+    pub fn snapshot_bytes(&self) -> (u64, Manifest, Rc<Vec<u8>>) {
+        (self.meta.index, self.manifest, self.state.clone())
+    }
+
+    /// The bytes of the snapshot with this digest, if it is the last one or one shortly before.
+    pub fn snapshot_by(&self, digest: &Digest) -> Option<Rc<Vec<u8>>> {
+        if self.manifest.digest == *digest {
+            return Some(self.state.clone());
+        }
+        self.older.iter().find(|(older, _)| older == digest).map(|(_, state)| state.clone())
+    }
+
+    /// Which rows an operator's export holds: index, term and bytes of each entry since the snapshot.
+    pub fn entries_since(&self) -> impl Iterator<Item = (u64, u64, &[u8])> {
+        self.entries.iter().map(|e| (e.index, e.term, &e.data[..]))
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState { hard_state: self.hard.clone(), conf_state: self.conf.clone() })
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.meta.index {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        if high > self.last() + 1 {
+            return Err(Error::Store(StorageError::Unavailable));
+        }
+        let range = (low - self.meta.index - 1) as usize..(high - self.meta.index - 1) as usize;
+        let mut found: Vec<Entry> = self.entries.range(range).cloned().collect();
+        raft::util::limit_size(&mut found, max_size.into());
+        Ok(found)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.meta.index {
+            return Ok(self.meta.term);
+        }
+        if index < self.meta.index {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        let entry = self.entries.get((index - self.meta.index - 1) as usize);
+        entry.map(|e| e.term).ok_or(Error::Store(StorageError::Unavailable))
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.meta.index + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, to: u64) -> raft::Result<Snapshot> {
+        // One from before a member was taken in means nothing to it.
+        let conf = self.meta.get_conf_state();
+        let knows = [&conf.voters, &conf.learners, &conf.learners_next].iter().any(|ids| ids.contains(&to));
+        if self.meta.index < request_index || !knows {
+            self.wanted.set(true);
+            return Err(Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        let mut snapshot = Snapshot::default();
+        snapshot.set_metadata(self.meta.clone());
+        snapshot.data = postcard::to_allocvec(&self.manifest).unwrap_or_default().into();
+        Ok(snapshot)
+    }
+}
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::entry::{digest, Content, Digest, Document, Entry, EntryId, Envelope, LONGEST_DOCUMENT, LONGEST_NAME};
+use crate::entry::{
+    digest, Content, Digest, Document, Entry, EntryId, Envelope, LONGEST_DOCUMENT, LONGEST_NAME,
+};
 
 /// Ids that are remembered, so that an entry written twice is applied once.
 const SEEN: usize = 4_096;
@@ -291,7 +293,10 @@
         all.remove(2);
         let last = all.iter().zip(50..).map(|(e, id)| apply(&mut state, id, e)).last();
         assert!(matches!(last, Some(Outcome::Refused(_))), "{last:?}");
-        assert!(matches!(write(&mut state, 3, "big", vec![0; LONGEST_DOCUMENT + 1], None), Outcome::Refused(_)));
+        assert!(matches!(
+            write(&mut state, 3, "big", vec![0; LONGEST_DOCUMENT + 1], None),
+            Outcome::Refused(_)
+        ));
     }
 
     #[test]
--- /dev/null
+++ b/crates/record/tests/virtual_records.rs
@@ -0,0 +1,331 @@
+//! Records on virtual time, network and disks from a seed: whatever goes wrong, nothing that was told to be done is lost,
+//! nobody reads what is old as the latest, and once the faults are over everyone holds the same.
+
+use proptest::prelude::*;
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
+use umberloom_record::{Config, Role, Told};
+use umberloom_rig::linear::breaches;
+use umberloom_rig::virtual_record::VirtualRecord;
+
+const SECOND: u64 = 1_000_000;
+
+/// Short times, so that a run has many elections.
+fn quick(config: &mut Config) {
+    (config.election, config.replace_after) = (200_000, 2 * SECOND);
+}
+
+fn five(config: &mut Config) {
+    quick(config);
+    config.voters = 5;
+}
+
+/// All are in, and so many vote.
+fn settled(count: usize, voters: usize, seed: u64, adjust: fn(&mut Config)) -> VirtualRecord {
+    let mut fleet = VirtualRecord::new(count, seed, adjust);
+    fleet.until(20 * SECOND, |f| f.settled(voters)).expect("settled");
+    fleet
+}
+
+/// Goes on for so long with clients at every server.
+fn busy(fleet: &mut VirtualRecord, random: &mut ChaCha8Rng, count: usize, span: u64) -> Result<(), String> {
+    let end = fleet.now + span;
+    while fleet.now < end {
+        let n = random.random_range(0..count);
+        let name = ["x", "y"][random.random_range(0..2)];
+        match random.random_range(0..3) {
+            0 => fleet.write(n, name, None),
+            1 => {
+                let version =
+                    fleet.record(n).and_then(|r| r.state().get(name)).map_or(0, |held| held.version);
+                fleet.write(n, name, Some(version));
+            }
+            _ => fleet.read(n, name),
+        }
+        fleet.run(fleet.now + random.random_range(1_000..30_000))?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_record_is_founded_once_and_everyone_joins() {
+    for (count, voters) in [(1, 1), (3, 3), (5, 3), (7, 5)] {
+        let adjust = if voters == 5 {
+            five
+        } else if voters == 1 {
+            |c: &mut Config| c.voters = 1
+        } else {
+            quick
+        };
+        let fleet = settled(count, voters, 7, adjust);
+        let founded = fleet.told.iter().filter(|(.., line)| matches!(line, Told::Founded(_))).count();
+        assert_eq!(founded, 1, "{count} servers");
+    }
+}
+
+#[test]
+fn a_killed_leader_is_followed_within_two_elections_and_nothing_done_is_lost() {
+    let mut fleet = settled(5, 3, 3, quick);
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..6 {
+        busy(&mut fleet, &mut random, 5, SECOND).expect("sound");
+        let leader = fleet.leader().expect("a leader");
+        fleet.kill(leader, true);
+        let took = fleet.until(5 * SECOND, |f| f.leader().is_some_and(|n| n != leader)).expect("a leader");
+        assert!(took <= 2 * 400_000 + 100_000, "{took}");
+        busy(&mut fleet, &mut random, 5, SECOND / 2).expect("sound");
+        fleet.start(leader);
+        fleet.until(10 * SECOND, |f| f.settled(3)).expect("settled");
+    }
+    assert_eq!(breaches(&fleet.operations), Vec::<String>::new());
+    assert!(fleet.operations.iter().filter(|o| o.told.is_some()).count() > 200);
+}
+
+#[test]
+fn a_leader_that_wakes_writes_and_reads_nothing_old() {
+    let mut fleet = settled(3, 3, 5, quick);
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let old = fleet.leader().expect("a leader");
+    let other = (old + 1) % 3;
+    fleet.write(old, "x", None);
+    fleet.run(fleet.now + SECOND).expect("sound");
+    fleet.pause(old, 5 * SECOND);
+    fleet.until(5 * SECOND, |f| f.leader().is_some_and(|n| n != old)).expect("another");
+    for _ in 0..10 {
+        fleet.write(other, "x", None);
+        fleet.run(fleet.now + 100_000).expect("sound");
+    }
+    fleet.run(fleet.now + 5 * SECOND - 1_300_000).expect("sound");
+    // It believes that it leads until it hears otherwise.
+    for _ in 0..20 {
+        fleet.read(old, "x");
+        fleet.write(old, "x", None);
+        fleet.run(fleet.now + 2_000).expect("sound");
+    }
+    busy(&mut fleet, &mut random, 3, SECOND).expect("sound");
+    assert_eq!(breaches(&fleet.operations), Vec::<String>::new());
+}
+
+#[test]
+fn wherever_some_server_reaches_a_quorum_there_is_a_leader_and_few_elections() {
+    // What is cut, given the leader and the others.
+    type Cut = fn(usize, &[usize]) -> Vec<(usize, usize)>;
+    let both = |a: usize, b: usize| [(a, b), (b, a)];
+    let _ = both;
+    let cases: [(&str, Cut); 5] = [
+        ("star through one that does not lead", |l, o| {
+            let all = [l, o[1], o[2], o[3]];
+            all.iter().flat_map(|a| all.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b).collect()
+        }),
+        ("bridge", |l, o| {
+            let halves = [[l, o[1]], [o[2], o[3]]];
+            halves[0].iter().flat_map(|a| halves[1].iter().flat_map(move |b| [(*a, *b), (*b, *a)])).collect()
+        }),
+        ("the leader is heard by one only", |l, o| o[1..].iter().map(|n| (l, *n)).collect()),
+        ("nothing reaches the leader", |l, o| o.iter().map(|n| (*n, l)).collect()),
+        ("chain", |l, o| {
+            let chain = [o[0], l, o[1], o[2], o[3]];
+            let far = |a: usize, b: usize| a.abs_diff(b) > 1;
+            (0..5)
+                .flat_map(|a| (0..5).map(move |b| (a, b)))
+                .filter(|(a, b)| far(*a, *b))
+                .map(|(a, b)| (chain[a], chain[b]))
+                .collect()
+        }),
+    ];
+    for (name, cut) in cases {
+        let mut fleet = settled(5, 5, 9, five);
+        let leader = fleet.leader().expect("a leader");
+        let others: Vec<usize> = (0..5).filter(|n| *n != leader).collect();
+        fleet.cut = cut(leader, &others).into_iter().collect();
+        fleet.run(fleet.now + SECOND).expect("sound");
+        let (from, hub) = (fleet.told.len(), others[0]);
+        let before = fleet.record(hub).map_or(0, |r| r.state().index);
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        busy(&mut fleet, &mut random, 5, 5 * SECOND).expect("sound");
+        let after = fleet.record(hub).map_or(0, |r| r.state().index);
+        assert!(after > before + 30, "{name}: {before} to {after}");
+        let led =
+            fleet.told[from..].iter().filter(|(.., t)| matches!(t, Told::Role(_, Role::Leader))).count();
+        assert!(led <= 2, "{name}: {led} leaders in 5 s");
+        fleet.cut.clear();
+        fleet.until(10 * SECOND, |f| f.settled(5)).unwrap_or_else(|why| panic!("{name}: {why}"));
+        assert_eq!(breaches(&fleet.operations), Vec::<String>::new(), "{name}");
+    }
+}
+
+#[test]
+fn one_whose_disk_is_gone_or_was_set_back_comes_back_under_a_new_number() {
+    for set_back in [false, true] {
+        let mut fleet = settled(5, 3, 4, quick);
+        let mut random = ChaCha8Rng::seed_from_u64(4);
+        let voter =
+            (0..5).find(|n| fleet.record(*n).is_some_and(|r| r.role() == Role::Voter)).expect("a voter");
+        let image = fleet.image(voter);
+        let number = fleet.record(voter).map(|r| r.numbers().0);
+        busy(&mut fleet, &mut random, 5, 2 * SECOND).expect("sound");
+        match set_back {
+            true => fleet.put_back(voter, image),
+            false => fleet.lose_disk(voter),
+        }
+        fleet.start(voter);
+        fleet.until(20 * SECOND, |f| f.settled(3)).expect("settled");
+        let now = fleet.record(voter).map(|r| r.numbers().0);
+        assert_ne!(number, now, "set back: {set_back}");
+        assert_eq!(fleet.aside.len(), usize::from(set_back), "{:?}", fleet.aside);
+        let state = fleet.record(voter).expect("runs").state();
+        assert_eq!(state.members.values().filter(|m| m.name == format!("m{voter}")).count(), 1);
+        busy(&mut fleet, &mut random, 5, SECOND).expect("sound");
+        assert_eq!(breaches(&fleet.operations), Vec::<String>::new());
+    }
+}
+
+#[test]
+fn a_voter_that_is_gone_for_long_is_replaced_and_learns_when_it_returns() {
+    let mut fleet = settled(5, 3, 6, quick);
+    let voter = (0..5).find(|n| fleet.record(*n).is_some_and(|r| r.role() == Role::Voter)).expect("a voter");
+    fleet.kill(voter, false);
+    let replaced = |f: &VirtualRecord| {
+        let stands = f.leader().and_then(|n| f.record(n)).map(|r| r.standing(f.now));
+        stands.is_some_and(|s| {
+            s.copies.iter().filter(|c| c.2).count() == 3
+                && !s.copies.iter().any(|c| c.2 && c.1 == format!("m{voter}"))
+        })
+    };
+    fleet.until(10 * SECOND, replaced).expect("replaced");
+    fleet.start(voter);
+    fleet.until(10 * SECOND, |f| f.settled(3)).expect("settled");
+    assert_eq!(fleet.record(voter).map(|r| r.role()), Some(Role::Learner));
+}
+
+#[test]
+fn a_whole_fleet_without_disks_begins_a_new_record_and_says_so() {
+    let mut fleet = settled(3, 3, 8, quick);
+    let first = fleet.record(0).map(|r| r.numbers().1);
+    (0..3).for_each(|n| fleet.lose_disk(n));
+    (0..3).for_each(|n| fleet.start(n));
+    fleet.until(20 * SECOND, |f| f.settled(3)).expect("settled");
+    assert_ne!(fleet.record(0).map(|r| r.numbers().1), first);
+    assert_eq!(fleet.told.iter().filter(|(.., t)| matches!(t, Told::Founded(_))).count(), 2);
+    // With disks it is the old one, whatever the order.
+    let second = fleet.record(0).map(|r| r.numbers().1);
+    (0..3).for_each(|n| fleet.kill(n, true));
+    for n in [2, 0, 1] {
+        fleet.start(n);
+        fleet.run(fleet.now + SECOND).expect("sound");
+    }
+    fleet.until(20 * SECOND, |f| f.settled(3)).expect("settled");
+    assert_eq!(fleet.record(0).map(|r| r.numbers().1), second);
+}
+
+#[test]
+fn a_copy_that_differs_is_set_aside_and_three_that_differ_freeze() {
+    let mut fleet = settled(3, 3, 2, quick);
+    let mut random = ChaCha8Rng::seed_from_u64(2);
+    let voter = (0..3).find(|n| fleet.record(*n).is_some_and(|r| r.role() == Role::Voter)).expect("a voter");
+    fleet.spoil(voter);
+    fleet.until(10 * SECOND, |f| !f.aside.is_empty()).expect("found");
+    assert_eq!(fleet.aside[0].0, voter);
+    fleet.until(20 * SECOND, |f| f.settled(3)).expect("settled");
+    // Each of three differs from both others.
+    for (n, times) in [(0, 1), (1, 2)] {
+        (0..times).for_each(|_| fleet.spoil(n));
+        fleet.write(n, "x", None);
+    }
+    fleet.spoil(1);
+    fleet.write(1, "x", None);
+    let frozen = |f: &VirtualRecord| (0..3).any(|n| f.record(n).is_some_and(|r| r.standing(f.now).frozen));
+    let found = fleet.until(20 * SECOND, |f| frozen(f) || f.aside.len() > 1);
+    assert!(found.is_ok(), "{found:?}");
+    busy(&mut fleet, &mut random, 3, SECOND).expect("sound");
+}
+
+#[test]
+fn one_that_is_far_behind_catches_up_and_is_killed_on_the_way() {
+    fn slow(config: &mut Config) {
+        quick(config);
+        config.catch_up = 400 << 10;
+    }
+    let mut fleet = settled(3, 3, 12, slow);
+    let behind = (0..3).find(|n| fleet.record(*n).is_some_and(|r| r.role() == Role::Voter)).expect("a voter");
+    fleet.kill(behind, false);
+    let leader = fleet.leader().expect("a leader");
+    for n in 0..30 {
+        let whole = umberloom_record::Entry::document(&format!("big{n}"), vec![n as u8; 30_000], None);
+        fleet.propose(leader, whole);
+        fleet.run(fleet.now + 50_000).expect("sound");
+    }
+    for _ in 0..40 {
+        (0..110).for_each(|_| fleet.write(leader, "x", None));
+        fleet.run(fleet.now + 100_000).expect("sound");
+    }
+    fleet.start(behind);
+    let coming = |f: &VirtualRecord| f.record(behind).and_then(|r| r.standing(f.now).catching_up);
+    let mut highest = 0;
+    for _ in 0..3 {
+        fleet
+            .until(20 * SECOND, |f| coming(f).is_some_and(|(there, _)| there >= highest + 4))
+            .expect("pieces");
+        let (there, all) = coming(&fleet).expect("under way");
+        assert!(there >= highest, "{there} of {all}, {highest} were there before");
+        highest = there;
+        fleet.kill(behind, true);
+        fleet.start(behind);
+    }
+    fleet.until(30 * SECOND, |f| f.settled(3)).expect("settled");
+    assert!(fleet.told.iter().any(|(_, n, t)| *n == behind && matches!(t, Told::CaughtUp(..))));
+}
+
+/// Faults drawn from a seed while clients write and read; then none.
+fn drawn(seed: u64, count: usize) -> Result<(), String> {
+    let adjust = if seed % 2 == 0 { quick } else { five };
+    let voters = if seed % 2 == 0 { 3.min(count) } else { 5 };
+    let mut fleet = VirtualRecord::new(count, seed, adjust);
+    fleet.until(30 * SECOND, |f| f.settled(voters))?;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut lost = 0;
+    for _ in 0..14 {
+        let span = random.random_range(100_000..SECOND);
+        busy(&mut fleet, &mut random, count, span)?;
+        let (a, b) = (random.random_range(0..count), random.random_range(0..count));
+        match random.random_range(0..9) {
+            0 | 1 if a != b => drop(fleet.cut.insert((a, b))),
+            2 => fleet.cut.clear(),
+            3 => fleet.kill(a, random.random_bool(0.5)),
+            4 if !fleet.runs(a) => fleet.start(a),
+            5 => fleet.pause(a, random.random_range(50_000..3 * SECOND)),
+            6 => (fleet.loss, fleet.late) = (random.random_range(0.0..0.3), 60_000),
+            // A minority may lose its disks, one at a time and with time to come back between.
+            7 if lost == 0 && (0..count).all(|n| fleet.runs(n)) => {
+                lost = 1;
+                fleet.lose_disk(a);
+                fleet.start(a);
+            }
+            _ => (fleet.loss, fleet.late) = (0.0, 2_000),
+        }
+    }
+    (fleet.loss, fleet.late) = (0.0, 2_000);
+    fleet.cut.clear();
+    fleet.run(fleet.now + 3 * SECOND)?;
+    (0..count).filter(|n| !fleet.runs(*n)).collect::<Vec<_>>().into_iter().for_each(|n| fleet.start(n));
+    fleet.until(30 * SECOND, |f| f.settled(voters))?;
+    busy(&mut fleet, &mut random, count, SECOND)?;
+    fleet.run(fleet.now + SECOND)?;
+    let found = breaches(&fleet.operations);
+    if found.is_empty() {
+        Ok(())
+    } else {
+        Err(found.join("\n"))
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(16))]
+
+    /// Whatever is drawn, what clients saw is linearizable, no term has two leaders, and all end the same.
+    #[test]
+    fn drawn_faults_lose_nothing_that_was_told_to_be_done(seed in any::<u64>(), count in 5usize..8) {
+        let came = drawn(seed, count);
+        prop_assert!(came.is_ok(), "{}", came.unwrap_err());
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`traffic`] asks every server all the while and notes how each request ended;
 //! - [`history`] keeps what every server said, every fault and every answer, on one clock;
 //! - [`check`] reads the history and says what was broken;
-//! - [`virtual_fleet`] has up to a thousand members in one process, on virtual time.
+//! - [`virtual_fleet`] has up to a thousand members in one process, on virtual time, and [`virtual_record`] a record with
+//!   its disks; [`linear`] says whether what clients saw of it is linearizable.
 //!
 //! All waits are bounded, all addresses are on loopback, and every process is ended by its own id.
 #![allow(missing_docs)]
@@ -15,11 +16,13 @@
 pub mod check;
 pub mod fleet;
 pub mod history;
+pub mod linear;
 pub mod relay;
 pub mod script;
 pub mod server;
 pub mod traffic;
 pub mod virtual_fleet;
+pub mod virtual_record;
 
 pub use fleet::{Fleet, Options};
 pub use history::History;
