--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -52,6 +52,8 @@
     Datagram(Name, Vec<u8>),
     /// To the address of this peer, over a stream.
     Stream(Name, Vec<u8>),
+    /// The same, but whatever else waits for that stream goes first.
+    Bulk(Name, Vec<u8>),
     /// Back the way that something came.
     Reply(Via, Vec<u8>),
 }
@@ -60,7 +62,10 @@
     /// What is to be sent.
     pub fn bytes(&self) -> &[u8] {
         match self {
-            Action::Datagram(_, bytes) | Action::Stream(_, bytes) | Action::Reply(_, bytes) => bytes,
+            Action::Datagram(_, bytes)
+            | Action::Stream(_, bytes)
+            | Action::Bulk(_, bytes)
+            | Action::Reply(_, bytes) => bytes,
         }
     }
 }
@@ -134,6 +139,8 @@
     Gossip,
     /// A stream, and a datagram as well where it fits: either may be dead, and none counts twice.
     Both,
+    /// A stream alone, after whatever else waits for it.
+    Bulk,
 }
 
 /// A server's part in its fleet.
@@ -712,6 +719,13 @@
         }
     }
 
+    /// The same for what is long and may wait.
+    pub fn bulk(&mut self, now: Micros, to: &Name, kind: u8, bytes: Vec<u8>) {
+        if self.links.get(to).is_some_and(|link| link.boot != 0) {
+            self.send(now, to, Body::Matter(kind, bytes), Way::Bulk);
+        }
+    }
+
     fn carry(&mut self, now: Micros, came: Came) {
         for (name, boot, bytes) in came.send {
             // Gossip is for one process; another under its name is asked first.
@@ -770,9 +784,10 @@
         let tried = now >= self.began + stale;
         let guest = (!link.named).then(|| self.guests.get(to).copied()).flatten();
         // Where no datagram comes back, they may die on the way: then streams carry gossip too, until one does.
-        let stream = way == Way::Both || (tried && !by_datagram);
+        let stream = way != Way::Gossip || (tried && !by_datagram);
         let seq = link.next_seq();
-        let head = Head { from: self.config.name.clone(), boot: mine, to_boot, seq, twice: stream };
+        let twice = stream && way != Way::Bulk;
+        let head = Head { from: self.config.name.clone(), boot: mine, to_boot, seq, twice };
         if !shakes {
             link.sent = Some(now);
         }
@@ -780,6 +795,9 @@
         if let Some(via) = guest {
             return self.act(Action::Reply(via, bytes));
         }
+        if way == Way::Bulk {
+            return self.act(Action::Bulk(to.clone(), bytes));
+        }
         let fits = bytes.len() <= LONGEST_DATAGRAM;
         if stream || !fits {
             self.act(Action::Stream(to.clone(), bytes.clone()));
--- a/crates/membership/src/session.rs
+++ b/crates/membership/src/session.rs
@@ -8,34 +8,47 @@
 use crate::wire::{About, Note, Refused};
 use crate::Micros;
 
-/// Numbers that may come out of order.
-const WINDOW: u64 = 128;
+/// Numbers that may come out of order: what goes by stream alone may wait behind much that goes by datagram.
+const WINDOW: u64 = 1_024;
 /// Least time between two questions to the same member.
 const HELLO_EVERY: Micros = 150_000;
 
 /// Which numbers have come.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Window {
     highest: u64,
-    seen: u128,
+    /// A bit for each of the last numbers, by number modulo the window.
+    seen: [u64; (WINDOW / 64) as usize],
+}
+
+impl Default for Window {
+    fn default() -> Window {
+        Window { highest: 0, seen: [0; (WINDOW / 64) as usize] }
+    }
 }
 
 impl Window {
     fn accept(&mut self, seq: u64) -> bool {
         if seq > self.highest {
-            let shift = seq - self.highest;
-            self.seen = if shift >= WINDOW { 0 } else { self.seen << shift };
-            self.seen |= 1;
+            // Places of numbers that have not come yet are free again.
+            let first = (self.highest + 1).max((seq + 1).saturating_sub(WINDOW));
+            (first..=seq).for_each(|number| self.set(number, false));
             self.highest = seq;
-            return true;
-        }
-        let back = self.highest - seq;
-        if back >= WINDOW || self.seen >> back & 1 == 1 {
+        } else if self.highest - seq >= WINDOW || self.is_set(seq) {
             return false;
         }
-        self.seen |= 1 << back;
+        self.set(seq, true);
         true
     }
+
+    fn is_set(&self, seq: u64) -> bool {
+        self.seen[(seq % WINDOW / 64) as usize] >> (seq % 64) & 1 == 1
+    }
+
+    fn set(&mut self, seq: u64, came: bool) {
+        let word = &mut self.seen[(seq % WINDOW / 64) as usize];
+        *word = *word & !(1 << (seq % 64)) | u64::from(came) << (seq % 64);
+    }
 }
 
 /// What a link knows of the process at its other end.
@@ -256,7 +269,7 @@
     proptest! {
         /// In whatever order numbers come, and however often, each counts once at most.
         #[test]
-        fn no_number_counts_twice(numbers in prop::collection::vec(1u64..400, 1..400)) {
+        fn no_number_counts_twice(numbers in prop::collection::vec(1u64..3_000, 1..600)) {
             let mut window = Window::default();
             let mut seen = std::collections::BTreeSet::new();
             for seq in numbers {
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -8,6 +8,7 @@
 use umberloom_membership::config::{Config, Peer, Timing, MOST_PEERS};
 
 use crate::node::Reader;
+use crate::record::Record;
 
 /// A fleet, as one server is told of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +23,8 @@
     pub loans: Loans,
     /// Dependencies whose `survives` all servers share, and what each survives.
     pub shared: Vec<(String, u32)>,
+    /// What the servers keep together, if they do.
+    pub record: Option<Record>,
     /// Where the node stands in its file: line and column.
     pub place: (usize, usize),
 }
@@ -70,7 +73,7 @@
     reader.properties(node).with_arguments().done();
     let within = node.children();
     if let Some(within) = within {
-        reader.only(within, &["listen", "secret", "zone", "peer", "timing", "loans"]);
+        reader.only(within, &["listen", "secret", "zone", "peer", "timing", "loans", "record"]);
     }
     let listen = reader.one(within, "listen");
     if listen.is_none() {
@@ -111,9 +114,14 @@
         let place = mistake.peer.and_then(|place| places.get(place.min(MOST_PEERS)).copied());
         reader.fault(place.unwrap_or(at), mistake.what);
     }
+    let kept = reader.one(within, "record");
+    let record = kept.map(|node| {
+        let others: Vec<&str> = membership.peers.iter().map(|peer| &*peer.name).collect();
+        crate::record::read(reader, node, (&membership.name, &membership.zone, &others))
+    });
     let (line, column) = reader.place(at);
     let listen = listen.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
-    let fleet = Fleet { listen, membership, addresses, loans, shared, place: (line, column) };
+    let fleet = Fleet { listen, membership, addresses, loans, shared, record, place: (line, column) };
     for (name, whole) in &fleet.shared {
         // Mistakes in the roster are told already, by their own places.
         for what in fleet.allowance(*whole).mistakes() {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fault;
 pub mod fleet;
 mod node;
+pub mod record;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -33,6 +34,7 @@
 
 pub use fault::{Fault, Faults};
 pub use fleet::Fleet;
+pub use record::Record;
 
 /// The longest file that is read.
 const LONGEST: u64 = 1 << 20;
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -46,7 +46,7 @@
 }
 
 /// What this program knows how to apply.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
     /// A remark, for the history.
     Note(String),
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod compare;
 pub mod entry;
+pub mod export;
 pub mod log;
 mod record;
 pub mod rule;
@@ -27,8 +28,9 @@
 pub mod words;
 
 pub use entry::{Entry, EntryId};
+pub use export::Export;
 pub use log::Image;
-pub use record::{Action, Class, Config, Read, Record, Refused, Role, Standing, Told};
+pub use record::{Action, Class, Config, CopyView, Read, Record, Refused, Role, Standing, Told};
 pub use state::{Outcome, State};
 
 /// Microseconds, on a clock that goes forward only.
--- a/crates/record/src/log.rs
+++ b/crates/record/src/log.rs
@@ -278,9 +278,10 @@
         self.older.iter().find(|(older, _)| older == digest).map(|(_, state)| state.clone())
     }
 
-    /// Which rows an operator's export holds: index, term and bytes of each entry since the snapshot.
-    pub fn entries_since(&self) -> impl Iterator<Item = (u64, u64, &[u8])> {
-        self.entries.iter().map(|e| (e.index, e.term, &e.data[..]))
+    /// What an operator's export holds: index, kind (0: content) and bytes of each entry since the snapshot, up to this one.
+    pub fn entries_to(&self, last: u64) -> Vec<(u64, u64, Vec<u8>)> {
+        let one = |e: &Entry| (e.index, e.get_entry_type() as u64, e.data.to_vec());
+        self.entries.iter().take_while(|e| e.index <= last).map(one).collect()
     }
 }
 
--- a/crates/record/src/record.rs
+++ b/crates/record/src/record.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
 use protobuf::Message as _;
@@ -12,10 +11,11 @@
 use rand::{Rng, RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use umberloom_membership::Name;
-use umberloom_store::Batch;
+use umberloom_store::{guarded, Batch};
 
 use crate::compare;
 use crate::entry::{Digest, Entry, EntryId};
+use crate::export::Export;
 use crate::log::{coming_batch, copy_batch, Copy, Image, Log, Manifest};
 use crate::rule::{self, Candidate, Change};
 use crate::state::{Member, Outcome, State};
@@ -240,8 +240,8 @@
     pub leader_heard_ms: Option<u64>,
     /// Digest after the last applied entry.
     pub chain: Digest,
-    /// Copies: number, server, whether it votes, what it said it had applied, how long ago that was in ms.
-    pub copies: Vec<(u64, String, bool, Option<u64>, Option<u64>)>,
+    /// All copies that belong to it.
+    pub copies: Vec<CopyView>,
     /// Pieces of a snapshot that are there, of how many.
     pub catching_up: Option<(u32, u32)>,
     /// Entries kept for a newer program.
@@ -250,6 +250,23 @@
     pub frozen: bool,
 }
 
+/// One copy, for people.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyView {
+    /// Its number.
+    pub copy: u64,
+    /// Its server, and the zone of that.
+    pub name: String,
+    /// See `name`.
+    pub zone: String,
+    /// Whether it votes.
+    pub votes: bool,
+    /// What it last said that it had applied, and how long ago that was, in milliseconds.
+    pub applied: Option<u64>,
+    /// See `applied`.
+    pub heard_ms: Option<u64>,
+}
+
 struct Other {
     boot: u64,
     heard: Micros,
@@ -418,10 +435,10 @@
             ..raft::Config::default()
         };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
-        match catch_unwind(AssertUnwindSafe(|| RawNode::new(&config, log, &logger))) {
+        match guarded(|| RawNode::new(&config, log, &logger)) {
             Ok(Ok(node)) => self.node = Some(node),
             Ok(Err(e)) => self.set_aside(format!("the log makes no sense: {e}")),
-            Err(_) => self.set_aside("the log makes no sense".to_owned()),
+            Err(why) => self.set_aside(format!("the log makes no sense: {why}")),
         }
     }
 
@@ -444,7 +461,7 @@
     /// Calls the library. What it can't go on with is this copy's end, not the server's.
     fn with<T>(&mut self, act: impl FnOnce(&mut RawNode<Log>) -> T) -> Option<T> {
         let node = self.node.as_mut()?;
-        match catch_unwind(AssertUnwindSafe(|| act(node))) {
+        match guarded(|| act(node)) {
             Ok(found) => {
                 // The library draws its election times from the machine; drawn here, a run can be played again.
                 if node.raft.randomized_election_timeout() != self.timeout {
@@ -453,10 +470,7 @@
                 }
                 Some(found)
             }
-            Err(panic) => {
-                let said = panic.downcast_ref::<String>().cloned();
-                let why = said.or(panic.downcast_ref::<&str>().map(|s| (*s).to_owned()));
-                let why = why.unwrap_or_else(|| "no reason given".to_owned());
+            Err(why) => {
                 self.tell(Told::Broken(why.clone()));
                 self.set_aside(format!("the log and what others say of it do not fit: {why}"));
                 None
@@ -479,12 +493,12 @@
             return;
         }
         match words::read(bytes) {
-            Some(Word::Hop(to, inner)) => {
-                if self.reached.contains(&to) {
-                    let passed = words::write(&Word::Passed(from.clone(), boot, inner));
-                    bounded(&mut self.actions, Action::Send(to, passed, Class::Entry));
-                }
+            Some(Word::Hop(to, inner)) if self.reached.contains(&to) => {
+                let passed = words::write(&Word::Passed(from.clone(), boot, inner));
+                bounded(&mut self.actions, Action::Send(to, passed, Class::Entry));
             }
+            // Nor does this server reach it: lost, as on a network.
+            Some(Word::Hop(..)) => {}
             Some(Word::Passed(origin, boot, inner)) => {
                 // One hop and no more.
                 match words::read(&inner) {
@@ -902,8 +916,8 @@
             self.send(&Name::from(leader.as_str()), Word::Hand(name.into(), votes), Class::Entry);
             return Ok(());
         }
-        let change =
-            rule::by_hand(&self.settings(), &self.candidates(now), name, votes).map_err(Refused::Rule)?;
+        let (settings, all) = (self.settings(), self.candidates(now));
+        let change = rule::by_hand(&settings, &all, self.copy.id, name, votes).map_err(Refused::Rule)?;
         self.change(&change);
         self.settle(now);
         Ok(())
@@ -1236,7 +1250,14 @@
         let copies = self.state.members.iter().map(|(copy, member)| {
             let votes = node.is_some_and(|n| n.store().conf().voters.contains(copy));
             let said = heard(copy, &member.name);
-            (*copy, member.name.clone(), votes, said.map(|(a, _)| a), said.map(|(_, ms)| ms))
+            CopyView {
+                copy: *copy,
+                name: member.name.clone(),
+                zone: member.zone.clone(),
+                votes,
+                applied: said.map(|(applied, _)| applied),
+                heard_ms: said.map(|(_, ms)| ms),
+            }
         });
         Standing {
             record: self.copy.record,
@@ -1256,11 +1277,23 @@
         }
     }
 
-    /// The snapshot and the entries since, for an operator who wants to keep or check them.
-    pub fn export(&self) -> Option<(u64, Rc<Vec<u8>>, Vec<(u64, u64, Vec<u8>)>)> {
+    /// A copy for an operator who wants to keep or check it; `None` without one.
+    pub fn export(&self) -> Option<Export> {
         let log = self.node.as_ref()?.store();
-        let (index, _, state) = log.snapshot_bytes();
-        Some((index, state, log.entries_since().map(|(i, t, bytes)| (i, t, bytes.to_vec())).collect()))
+        let (_, _, state) = log.snapshot_bytes();
+        Some(Export {
+            from: self.config.me.to_string(),
+            applied: self.state.index,
+            chain: self.state.chain,
+            state: state.to_vec(),
+            entries: log.entries_to(self.state.index),
+        })
+    }
+
+    /// Others belong to the fleet from now on.
+    pub fn set_others(&mut self, others: Vec<Name>) {
+        self.others.retain(|name, _| others.contains(name));
+        self.config.others = others;
     }
 
     /// What is to be done.
--- a/crates/record/src/rule.rs
+++ b/crates/record/src/rule.rs
@@ -106,21 +106,46 @@
     }
 }
 
-/// What an operator asks for by hand; an error says why not.
-pub fn by_hand(settings: &Settings, all: &[Candidate], name: &str, votes: bool) -> Result<Change, String> {
+/// What an operator asks for by hand; an error says why not. As many vote afterwards as before, but for one too few: else
+/// the rule would undo it. `leader` keeps its vote.
+pub fn by_hand(
+    settings: &Settings,
+    all: &[Candidate],
+    leader: u64,
+    name: &str,
+    votes: bool,
+) -> Result<Change, String> {
     let found = all.iter().find(|c| c.name == name).ok_or(format!("{name} holds no copy"))?;
     if found.votes == votes {
         return Err(format!("{name} {} already", if votes { "votes" } else { "learns" }));
     }
-    let (gain, lose) = if votes { (Some(found.copy), vec![]) } else { (None, vec![found.copy]) };
-    if !is_safe(all, settings, gain, &lose) {
+    let there = |c: &&Candidate| c.silent < settings.there;
+    let zone = |c: &Candidate| all.iter().filter(|o| o.votes && o.zone == c.zone).count();
+    let change = if votes {
+        if !found.caught_up {
+            return Err(format!("{name} has not caught up"));
+        }
+        let few = all.iter().filter(|c| c.votes).count() < settings.voters;
+        let voters = all.iter().filter(|c| c.votes && c.copy != leader);
+        let other = voters.max_by_key(|c| (!there(c), zone(c), c.burden, c.name.clone()));
+        match other {
+            Some(other) if !few => Change::Replace(found.copy, other.copy),
+            _ => Change::Promote(found.copy),
+        }
+    } else {
+        let ready = all.iter().filter(|c| !c.votes && c.caught_up).filter(there);
+        let best = ready.min_by_key(|c| (zone(c), c.burden, c.name.clone()));
+        let best = best.ok_or("nobody else has caught up and could vote in its place")?;
+        Change::Replace(best.copy, found.copy)
+    };
+    let (gain, lose) = match change {
+        Change::Replace(new, old) => (new, vec![old]),
+        _ => (found.copy, vec![]),
+    };
+    if !is_safe(all, settings, Some(gain), &lose) {
         return Err("a majority of the voters would not be there after it".to_owned());
     }
-    match votes {
-        true if !found.caught_up => Err(format!("{name} has not caught up")),
-        true => Ok(Change::Promote(found.copy)),
-        false => Ok(Change::Demote(found.copy)),
-    }
+    Ok(change)
 }
 
 #[cfg(test)]
@@ -175,8 +200,14 @@
         for (all, asks, wanted) in cases {
             assert_eq!(due(&SETTINGS, &all, asks), wanted, "{all:?}");
         }
-        assert!(by_hand(&SETTINGS, &silent(0, 9, three()), "n2", false).is_err());
-        assert_eq!(by_hand(&SETTINGS, &three(), "n2", false), Ok(Change::Demote(2)));
+        let four = || with(one(4, "b", false, 0));
+        let by_hand = |all: &[Candidate], name, votes| by_hand(&SETTINGS, all, 1, name, votes);
+        assert_eq!(by_hand(&four(), "n4", true), Ok(Change::Replace(4, 3)));
+        assert_eq!(by_hand(&silent(1, 9, four()), "n4", true), Ok(Change::Replace(4, 2)));
+        assert_eq!(by_hand(&four(), "n2", false), Ok(Change::Replace(4, 2)));
+        assert_eq!(by_hand(&three()[..2], "n1", true), Err("n1 votes already".to_owned()));
+        assert!(by_hand(&three(), "n2", false).is_err_and(|why| why.contains("in its place")));
+        assert!(by_hand(&silent(0, 9, silent(1, 9, four())), "n4", true).is_err());
     }
 
     proptest! {
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -101,11 +101,8 @@
     /// Applies the entry at this index; the same at every member, so no clock and no chance here.
     pub fn apply(&mut self, index: u64, bytes: &[u8]) -> Option<(EntryId, Outcome)> {
         let envelope = Envelope::read(bytes);
-        let outcome = match &envelope {
-            Some(envelope) => Some((envelope.id, self.enter(index, envelope))),
-            // Raft's own empty entries, and what nobody of this fleet can have written.
-            None => None,
-        };
+        // Without one: the library's own empty entries, and what nobody of this fleet can have written.
+        let outcome = envelope.as_ref().map(|envelope| (envelope.id, self.enter(index, envelope)));
         let told = postcard::to_allocvec(&outcome).unwrap_or_default();
         self.roll(index, &[bytes, &told]);
         outcome
--- a/crates/record/tests/virtual_records.rs
+++ b/crates/record/tests/virtual_records.rs
@@ -110,8 +110,6 @@
 fn wherever_some_server_reaches_a_quorum_there_is_a_leader_and_few_elections() {
     // What is cut, given the leader and the others.
     type Cut = fn(usize, &[usize]) -> Vec<(usize, usize)>;
-    let both = |a: usize, b: usize| [(a, b), (b, a)];
-    let _ = both;
     let cases: [(&str, Cut); 5] = [
         ("star through one that does not lead", |l, o| {
             let all = [l, o[1], o[2], o[3]];
@@ -188,8 +186,8 @@
     let replaced = |f: &VirtualRecord| {
         let stands = f.leader().and_then(|n| f.record(n)).map(|r| r.standing(f.now));
         stands.is_some_and(|s| {
-            s.copies.iter().filter(|c| c.2).count() == 3
-                && !s.copies.iter().any(|c| c.2 && c.1 == format!("m{voter}"))
+            s.copies.iter().filter(|c| c.votes).count() == 3
+                && !s.copies.iter().any(|c| c.votes && c.name == format!("m{voter}"))
         })
     };
     fleet.until(10 * SECOND, replaced).expect("replaced");
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -45,6 +45,10 @@
     pub damp_ms: u64,
     /// With it nothing lends: each server has its own part of the whole.
     pub cut_parts: bool,
+    /// The properties of the node `record`, where the servers keep one.
+    pub record: Option<String>,
+    /// The properties of its folder, where its copies outlive their processes.
+    pub disk: Option<String>,
 }
 
 impl Options {
@@ -60,6 +64,8 @@
             takes_ms: 20.0,
             fleet: true,
             cut_parts: false,
+            record: None,
+            disk: None,
             names: (1..=servers).map(|n| format!("n{n}")).collect(),
             damp_ms: 500,
         }
@@ -226,6 +232,13 @@
                 self.options.timing,
                 self.options.loans
             );
+            if let Some(record) = &self.options.record {
+                let folder = self.servers[n].record_folder();
+                let disk = self.options.disk.as_ref();
+                let disk =
+                    disk.map_or_else(String::new, |disk| format!("folder \"{}\" {disk}", folder.display()));
+                let _ = writeln!(text, " record {record} {{ {disk}\n }}");
+            }
             for other in &self.told_of[n] {
                 let (name, address) = (&self.servers[*other].name, self.relays[&(n, *other)].address);
                 let _ = writeln!(text, " peer \"{name}\" address=\"{address}\" zone=\"z{}\"", other % 3);
@@ -306,6 +319,42 @@
         self.servers[n].ask(&["members"])
     }
 
+    /// Asks a server about the record.
+    pub fn record(&self, n: usize, words: &[&str]) -> Result<Value, String> {
+        self.servers[n].ask(&[&["record"], words].concat())
+    }
+
+    /// One figure of how a server's part in the record stands; null where it has none.
+    pub fn kept(&self, n: usize, field: &str) -> Value {
+        self.record(n, &["status"]).map_or(Value::Null, |mut status| status[field].take())
+    }
+
+    /// Which server leads the record: one that says so of the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let running = (0..self.servers.len()).filter(|n| self.servers[*n].is_running());
+        let status = running.filter_map(|n| Some((n, self.record(n, &["status"]).ok()?)));
+        let leads = status.filter(|(_, status)| status["role"] == "Leader");
+        leads.max_by_key(|(_, status)| status["term"].as_u64()).map(|(n, _)| n)
+    }
+
+    /// Waits until so many vote, every server that runs has a copy, and all have applied the same.
+    pub fn until_kept(&self, voters: usize) -> Result<(), String> {
+        self.until(&format!("a record of {voters} voters, the same everywhere"), |fleet| {
+            let running = (0..fleet.servers.len()).filter(|n| fleet.servers[*n].is_running());
+            let all: Vec<Value> = running.filter_map(|n| fleet.record(n, &["status"]).ok()).collect();
+            let count = fleet.servers.iter().filter(|s| s.is_running()).count();
+            let votes = |status: &Value| {
+                let copies = status["copies"].as_array().map(Vec::as_slice).unwrap_or_default();
+                (copies.iter().filter(|copy| copy["votes"] == true).count(), copies.len())
+            };
+            let same = |field: &str| all.iter().all(|status| status[field] == all[0][field]);
+            all.len() == count
+                && ["record", "applied", "chain"].into_iter().all(same)
+                && all.iter().all(|status| votes(status) == (voters, count) && status["role"] != "Outside")
+                && all.iter().any(|status| status["role"] == "Leader")
+        })
+    }
+
     /// How a server stands, by its own word.
     pub fn standing(&self, n: usize) -> String {
         self.view(n).map_or_else(|why| why, |view| view["standing"].as_str().unwrap_or("?").to_lowercase())
@@ -331,7 +380,8 @@
         }
         let mut said = String::new();
         for (n, server) in self.servers.iter().enumerate() {
-            let _ = writeln!(said, "{}: {:?}\n{}", server.name, self.view(n), tail(&server.log()));
+            let kept = self.options.record.as_ref().map(|_| self.record(n, &["status"]));
+            let _ = writeln!(said, "{}: {:?}\n{kept:?}\n{}", server.name, self.view(n), tail(&server.log()));
         }
         Err(format!("waited in vain for {what}\nrequests of the last 5 s: {}\n{said}", self.of_late()))
     }
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -260,14 +260,55 @@
 
     /// Asks it about its fleet with the product's own command.
     pub fn ask(&self, about: &[&str]) -> Result<Value, String> {
+        let (first, rest) = about.split_first().map_or((&"members", &[][..]), |parts| parts);
         let mut command = Command::new(&self.program);
-        command.arg("fleet").args(about).arg("--json").arg("--operator").arg(self.operator_file());
-        command.arg("--at").arg(self.fleet.to_string());
+        command.arg("fleet").arg(first).arg("--json").arg("--operator").arg(self.operator_file());
+        command.arg("--at").arg(self.fleet.to_string()).args(rest);
         let output = command.output().map_err(|e| e.to_string())?;
         if !output.status.success() {
             return Err(String::from_utf8_lossy(&output.stderr).into_owned());
         }
-        serde_json::from_slice(&output.stdout).map_err(|e| e.to_string())
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        // A line for people, where there is nothing to be read by a program.
+        Ok(serde_json::from_str(&text).unwrap_or_else(|_| Value::String(text.trim().to_owned())))
+    }
+
+    /// Where its copy of the record is.
+    pub fn record_folder(&self) -> PathBuf {
+        self.folder.join("record")
+    }
+
+    /// Its disk is gone. The process has ended before.
+    pub fn lose_disk(&self) {
+        self.history.note(&self.name, "fault", json!({"disk": "lost"}));
+        let _ = std::fs::remove_dir_all(self.record_folder());
+    }
+
+    /// The file of its copy, as it is now.
+    pub fn disk_image(&self) -> std::io::Result<Vec<u8>> {
+        std::fs::read(self.record_folder().join("rows.redb"))
+    }
+
+    /// Puts the file of its copy back as it was, or with other bytes. The process has ended before.
+    pub fn put_disk(&self, image: &[u8]) -> std::io::Result<()> {
+        self.history.note(&self.name, "fault", json!({"disk": "put back"}));
+        std::fs::write(self.record_folder().join("rows.redb"), image)
+    }
+
+    /// Turns a bit over every so many bytes of the file of its copy, whether a process has it open or not.
+    pub fn flip_disk(&self, from: u64, every: u64) -> std::io::Result<()> {
+        use std::os::unix::fs::FileExt;
+        self.history.note(&self.name, "fault", json!({"disk": "bits turned over"}));
+        let file =
+            std::fs::File::options().read(true).write(true).open(self.record_folder().join("rows.redb"))?;
+        let (mut at, end) = (from, file.metadata()?.len());
+        while at < end {
+            let mut byte = [0];
+            file.read_exact_at(&mut byte, at)?;
+            file.write_all_at(&[byte[0] ^ 2], at)?;
+            at += every;
+        }
+        Ok(())
     }
 }
 
--- a/crates/rig/src/virtual_fleet.rs
+++ b/crates/rig/src/virtual_fleet.rs
@@ -159,7 +159,9 @@
         self.told.extend(told.into_iter().map(|line| (self.now, n, line)));
         for action in actions {
             let to = match &action {
-                Action::Datagram(to, _) | Action::Stream(to, _) => self.places.get(&**to).copied(),
+                Action::Datagram(to, _) | Action::Stream(to, _) | Action::Bulk(to, _) => {
+                    self.places.get(&**to).copied()
+                }
                 Action::Reply(Via::Datagram(way) | Via::Stream(way), _) => Some(*way as usize),
             };
             let datagram = matches!(action, Action::Datagram(..) | Action::Reply(Via::Datagram(_), _));
--- a/crates/rig/src/virtual_record.rs
+++ b/crates/rig/src/virtual_record.rs
@@ -395,7 +395,7 @@
         let stand = |n: usize| {
             let Some(record) = self.places[n].record.as_ref() else { return format!("m{n} is down") };
             let s = record.standing(self.now);
-            let copies = s.copies.iter().map(|c| format!("{}{}", c.1, if c.2 { "*" } else { "" }));
+            let copies = s.copies.iter().map(|c| format!("{}{}", c.name, if c.votes { "*" } else { "" }));
             let copies: Vec<String> = copies.collect();
             format!(
                 "m{n} {} of {:04x} term {} leader {:?} applied {} commit {} last {} frozen {} fetching {:?}: {}",
@@ -412,7 +412,7 @@
         let records: Vec<&Record> = self.places.iter().filter_map(|place| place.record.as_ref()).collect();
         let Some(leader) = self.leader().and_then(|n| self.record(n)) else { return false };
         let stands = leader.standing(self.now);
-        let votes = stands.copies.iter().filter(|(_, _, votes, ..)| *votes).count();
+        let votes = stands.copies.iter().filter(|c| c.votes).count();
         let same = |r: &&Record| {
             r.state().index == leader.state().index
                 && r.state().chain == leader.state().chain
--- a/crates/server/src/exchange/fleet.rs
+++ b/crates/server/src/exchange/fleet.rs
@@ -6,9 +6,12 @@
 use umberloom_allowance::AllowanceView;
 use umberloom_membership::wire::About;
 use umberloom_membership::{Config, Name};
+use umberloom_operator::Record;
 
 /// The matter of shared allowances.
 pub const ALLOWANCE: u8 = 1;
+/// The matter of the record that servers keep together.
+pub const RECORD: u8 = 2;
 
 /// What the actor is told.
 #[derive(Debug)]
@@ -19,8 +22,8 @@
     Load(u8),
     /// How shared allowances stand, for those who ask.
     Shares(Vec<(Rc<str>, AllowanceView)>),
-    /// Other peers, with their addresses, and what this server is made of now.
-    Set(Box<(Config, Vec<SocketAddr>, About)>),
+    /// Other peers, with their addresses, what this server is made of now, and what is told of the record.
+    Set(Box<(Config, Vec<SocketAddr>, About, Option<Record>)>),
     /// This server has been told to end.
     Leave,
     /// The last word.
--- a/crates/server/src/lifecycle/fleet.rs
+++ b/crates/server/src/lifecycle/fleet.rs
@@ -8,7 +8,7 @@
 use slog::Logger;
 use umberloom::interface::Settings;
 use umberloom_membership::wire::{digest, About};
-use umberloom_operator::{Fleet as Told, Operator};
+use umberloom_operator::{Fleet as Told, Operator, Record};
 
 use super::config::Config;
 use super::PEERS_SHARE;
@@ -39,7 +39,8 @@
              this limit of sockets"
         ));
     }
-    let (asked, most) = (memory(peers) >> 10, (config.limits.memory / PEERS_SHARE / PART) >> 10);
+    let (asked, most) =
+        (memory(peers, told.record.is_some()) >> 10, (config.limits.memory / PEERS_SHARE / PART) >> 10);
     if asked > most {
         return Some(format!(
             "{line}:{column}: found {peers} peers, which take {asked} kb, expected {most} at most under this \
@@ -77,12 +78,12 @@
     log: &Logger,
 ) -> Result<Running, String> {
     let (orders, taken) = bounded(MAILBOX);
-    let bytes = memory(told.membership.peers.len());
+    let bytes = memory(told.membership.peers.len(), told.record.is_some());
     let charge =
         budget.take(bytes).ok_or_else(|| format!("no memory for {bytes} bytes of the fleet's streams"))?;
     // The start by the system's own clock: a later process under this name has a later one, whatever ours does.
     let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_micros() as u64);
-    let set = (told.membership.clone(), told.addresses.clone(), about);
+    let set = (told.membership.clone(), told.addresses.clone(), about, told.record.clone());
     let (own, log) = (executor.clone(), log.clone());
     let fleet = Fleet::new(own, sockets, set, (boot, seed), taken, module.clone(), charge, log)?;
     executor.spawn(fleet.run()).detach();
@@ -111,6 +112,7 @@
         ("secret", a.secret == b.secret),
         ("zone", a.zone == b.zone),
         ("timing", a.timing == b.timing),
+        ("record", same_record(old.record.as_ref(), new.record.as_ref())),
     ];
     match fields.into_iter().find(|(_, same)| !same) {
         Some((field, _)) => {
@@ -120,6 +122,16 @@
     }
 }
 
+/// Who else belongs to the fleet may change under a record; all else is fixed at the start.
+fn same_record(old: Option<&Record>, new: Option<&Record>) -> bool {
+    let alike = |record: &Record| {
+        let mut record = record.clone();
+        record.config.others.clear();
+        record
+    };
+    old.map(alike) == new.map(alike)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -365,7 +365,7 @@
         if let (Some(running), Some(told)) = (&mut self.fleet, &operator.fleet) {
             running.told = told.clone();
             let about = fleet::about(&self.config, &operator);
-            let set = (told.membership.clone(), told.addresses.clone(), about);
+            let set = (told.membership.clone(), told.addresses.clone(), about, told.record.clone());
             let _ = running.orders.send(to_fleet::Order::Set(Box::new(set))).await;
         }
         let plans = operator.dependencies.plans.len();
--- a/crates/server/src/peers/fleet.rs
+++ b/crates/server/src/peers/fleet.rs
@@ -4,11 +4,12 @@
 //! takes for a network that loses; what others send is bounded in length before it is read.
 
 mod link;
+mod record;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -18,12 +19,16 @@
 use umberloom_allowance::AllowanceView;
 use umberloom_membership::wire::{About, Key, LONGEST_DATAGRAM};
 use umberloom_membership::{Action, Config, Membership, Micros, Name, Told, Via};
+use umberloom_operator::Record;
+use umberloom_store::writer::Done;
 
-use crate::exchange::fleet::{News, Order, Present};
+use crate::exchange::fleet::{News, Order, Present, RECORD};
 use crate::exchange::Message;
 use crate::memory::budget::Charge;
 use crate::wire::fleet::{frame, Answer, FleetView, Kind, Question, Reply, What};
+use crate::wire::record::Told as record_told;
 use link::Came;
+use record::Keeper;
 
 /// Orders that may wait to be taken.
 pub const MAILBOX: usize = 512;
@@ -45,9 +50,11 @@
     2 + 2 * peers + MORE
 }
 
-/// Memory that it may take: streams are short, so a part of them is full at a time.
-pub fn memory(peers: usize) -> usize {
+/// Memory that it may take: streams are short, so a part of them is full at a time. With a record, what is long waits
+/// for each peer too.
+pub fn memory(peers: usize, record: bool) -> usize {
     (peers / 8 + MORE) * STREAM
+        + if record { peers * link::BULK * crate::wire::fleet::LONGEST / 2 } else { 0 }
 }
 
 /// The sockets, bound before anything is served.
@@ -66,6 +73,9 @@
     }
 }
 
+/// A stream to a peer: what is urgent, what is long, and what writes them.
+type Out = (Sender<Vec<u8>>, Sender<Vec<u8>>, Task<()>);
+
 /// From which stream something came.
 type From = (u64, Came);
 
@@ -74,6 +84,7 @@
     Datagram,
     Frame(u64, Came),
     Accepted(TcpStream),
+    Disk(Done),
     Time,
 }
 
@@ -89,7 +100,7 @@
     module: Sender<Message>,
     addresses: BTreeMap<Name, SocketAddr>,
     /// Streams to peers.
-    outs: BTreeMap<Name, (Sender<Vec<u8>>, Task<()>)>,
+    outs: BTreeMap<Name, Out>,
     /// Streams that others opened.
     ins: BTreeMap<u64, (Sender<Vec<u8>>, Task<()>)>,
     came: (Sender<From>, Receiver<From>),
@@ -100,6 +111,8 @@
     told: (Present, Micros),
     shares: Vec<(Rc<str>, AllowanceView)>,
     mine: About,
+    record: Option<Keeper>,
+    load: u8,
     log: Logger,
     _charge: Charge,
 }
@@ -110,7 +123,7 @@
     pub fn new(
         executor: Rc<LocalExecutor<'a>>,
         sockets: Sockets,
-        (config, addresses, about): (Config, Vec<SocketAddr>, About),
+        (config, addresses, about, kept): (Config, Vec<SocketAddr>, About, Option<Record>),
         (boot, seed): (u64, u64),
         orders: Receiver<Order>,
         module: Sender<Message>,
@@ -144,6 +157,8 @@
             told: (Present::default(), 0),
             shares: Vec::new(),
             mine: about,
+            record: kept.map(|settings| Keeper::new(0, settings, seed ^ boot, log.clone())),
+            load: 0,
             log,
             _charge: charge,
         })
@@ -169,9 +184,15 @@
                 Next::Datagram => self.datagrams(now),
                 Next::Frame(id, came) => self.frame(now, id, came),
                 Next::Accepted(stream) => self.accepted(stream),
+                Next::Disk(done) => {
+                    if let Some(keeper) = &mut self.record {
+                        keeper.done(now, done);
+                    }
+                }
                 Next::Time => {}
             }
             self.membership.pass(now);
+            self.keep(now);
             self.carry_out(now);
             self.tell(now);
         }
@@ -203,21 +224,48 @@
                 }
             }
         };
-        let due = self.membership.next_at().saturating_sub(self.now());
+        let kept = self.record.as_ref().map_or(Micros::MAX, Keeper::next_at);
+        let due = self.membership.next_at().min(kept).saturating_sub(self.now());
         let time = async {
             Timer::after(Duration::from_micros(due)).await;
             Next::Time
         };
-        future::race(order, future::race(future::race(datagram, frame), future::race(accepted, time))).await
+        let words = self.record.as_ref().map(Keeper::disk);
+        let disk = async {
+            match words {
+                Some(words) => match words.recv().await {
+                    Ok(done) => Next::Disk(done),
+                    Err(_) => future::pending().await,
+                },
+                None => future::pending().await,
+            }
+        };
+        let own = future::race(accepted, future::race(disk, time));
+        future::race(order, future::race(future::race(datagram, frame), own)).await
+    }
+
+    /// The record's turn, and answers about it.
+    fn keep(&mut self, now: Micros) {
+        let Some(keeper) = &mut self.record else { return };
+        keeper.pass(now, &mut self.membership, self.load);
+        for ((id, number), told) in keeper.take_answers() {
+            self.reply(id, number, Reply::Record(told));
+        }
     }
 
     fn obey(&mut self, now: Micros, order: Order) {
         match order {
             Order::Matter(to, kind, bytes) => self.membership.matter(now, &to, kind, bytes),
-            Order::Load(percent) => self.membership.set_load(percent),
+            Order::Load(percent) => {
+                self.load = percent;
+                self.membership.set_load(percent);
+            }
             Order::Shares(shares) => self.shares = shares,
             Order::Set(told) => {
-                let (config, addresses, about) = *told;
+                let (config, addresses, about, kept) = *told;
+                if let (Some(keeper), Some(settings)) = (&mut self.record, kept) {
+                    keeper.set(settings);
+                }
                 self.peers = config.peers.len();
                 self.addresses = config.peers.iter().map(|peer| peer.name.clone()).zip(addresses).collect();
                 // Streams to those who are gone, or elsewhere, end with what they carry.
@@ -226,7 +274,10 @@
                 self.membership.set_about(now, about.clone());
                 self.mine = about;
             }
-            Order::Leave => self.membership.leave(now),
+            Order::Leave => {
+                self.membership.leave(now);
+                self.record.iter_mut().for_each(|keeper| keeper.leave(now));
+            }
             Order::Part => {}
         }
     }
@@ -282,6 +333,15 @@
 
     fn answer(&mut self, now: Micros, id: u64, question: Question) {
         let reply = match question.what {
+            What::Record(asked) => {
+                let Some(keeper) = &mut self.record else {
+                    let why = "this server's file has no `record` in its fleet".to_owned();
+                    return self.reply(id, question.number, Reply::Record(record_told::Refused(why)));
+                };
+                let unix =
+                    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+                return keeper.ask(now, unix, (id, question.number), asked);
+            }
             What::Members => Reply::Members(self.view(now)),
             What::Explain(name) => match self.membership.explain(now, &name) {
                 Some(evidence) => Reply::Explain(evidence),
@@ -291,7 +351,11 @@
                 }
             },
         };
-        let answer = self.key.seal(&Answer { number: question.number, reply });
+        self.reply(id, question.number, reply);
+    }
+
+    fn reply(&mut self, id: u64, number: u64, reply: Reply) {
+        let answer = self.key.seal(&Answer { number, reply });
         if let Some((answers, _)) = self.ins.get(&id) {
             let _ = answers.try_send(frame(Kind::Answer, &answer));
         }
@@ -321,7 +385,8 @@
                         let _ = self.sockets.datagrams.get_ref().send_to(&bytes, address);
                     }
                 }
-                Action::Stream(to, bytes) => self.stream(&to, frame(Kind::Message, &bytes)),
+                Action::Stream(to, bytes) => self.stream(&to, frame(Kind::Message, &bytes), false),
+                Action::Bulk(to, bytes) => self.stream(&to, frame(Kind::Message, &bytes), true),
                 Action::Reply(Via::Datagram(way), bytes) => {
                     if let Some((_, address)) = self.ways.iter().find(|(number, _)| *number == way) {
                         let _ = self.sockets.datagrams.get_ref().send_to(&bytes, address);
@@ -335,6 +400,10 @@
             }
         }
         for matter in self.membership.take_matters() {
+            if let (RECORD, Some(keeper)) = (matter.kind, &mut self.record) {
+                keeper.hear(now, &matter.from, matter.boot, &matter.bytes);
+                continue;
+            }
             let from = (matter.from, matter.boot);
             let news = News::Matter { from, kind: matter.kind, bytes: matter.bytes };
             // A module that has no time for it now is one whose loans have to wait.
@@ -345,14 +414,14 @@
         }
     }
 
-    fn stream(&mut self, to: &Name, frame: Vec<u8>) {
+    fn stream(&mut self, to: &Name, frame: Vec<u8>, may_wait: bool) {
         let Some(address) = self.addresses.get(to).copied() else { return };
         let executor = &self.executor;
-        let (out, _) = self.outs.entry(to.clone()).or_insert_with(|| {
-            let (out, taken) = bounded(link::WAITING);
-            (out, executor.spawn(link::write_to(address, taken)))
+        let (out, bulk, _) = self.outs.entry(to.clone()).or_insert_with(|| {
+            let ((out, taken), (bulk, long)) = (bounded(link::WAITING), bounded(link::BULK));
+            (out, bulk, executor.spawn(link::write_to(address, taken, long)))
         });
-        let _ = out.try_send(frame);
+        let _ = if may_wait { bulk.try_send(frame) } else { out.try_send(frame) };
     }
 
     fn tell(&mut self, now: Micros) {
--- a/crates/server/src/peers/fleet/link.rs
+++ b/crates/server/src/peers/fleet/link.rs
@@ -13,6 +13,8 @@
 
 /// Frames that may wait to be written to a member; more are lost, as on a network.
 pub const WAITING: usize = 64;
+/// The same for what is long and may wait.
+pub const BULK: usize = 16;
 /// A peer that takes nothing for so long, or does not let us connect, is given up; what waits is lost.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Between two connections to a peer that did not come about.
@@ -31,11 +33,18 @@
 }
 
 /// Writes what is given to a peer, over a connection made when something is to be written. A peer that accepts and
-/// never reads holds up nobody but itself.
-pub async fn write_to(address: SocketAddr, frames: Receiver<Vec<u8>>) {
+/// never reads holds up nobody but itself. What is `bulk` goes when nothing else waits: a snapshot on its way must make
+/// nobody look dead.
+pub async fn write_to(address: SocketAddr, frames: Receiver<Vec<u8>>, bulk: Receiver<Vec<u8>>) {
     let mut link: Option<Async<TcpStream>> = None;
     loop {
-        let next = async { Some(frames.recv().await) };
+        let first = async { Some(frames.recv().await) };
+        let next = future::or(first, async {
+            match bulk.recv().await {
+                Ok(frame) => Some(Ok(frame)),
+                Err(_) => future::pending().await,
+            }
+        });
         let idle = async {
             Timer::after(IDLE).await;
             None
@@ -62,7 +71,7 @@
             Err(_) => {
                 Timer::after(BACK_OFF).await;
                 // What has waited meanwhile is old.
-                while frames.try_recv().is_ok() {}
+                while frames.try_recv().is_ok() || bulk.try_recv().is_ok() {}
             }
         }
     }
--- a/crates/server/src/questions.rs
+++ b/crates/server/src/questions.rs
@@ -1,5 +1,7 @@
 //! `umberloom fleet …`: questions to a server about its fleet, over the fleet's own port and reading only.
 
+mod record;
+
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -30,6 +32,7 @@
 enum About {
     Members,
     Explain(String),
+    Record(record::About),
 }
 
 /// The words after `fleet`.
@@ -58,11 +61,23 @@
         .to_options()
         .descr("Why one server holds a member for what it does: evidence with its age")
         .command("explain");
-    construct!([members, explain])
+    let (operator, at, json) = told();
+    let about = record::command_line();
+    let kept = construct!(operator, at, json, about)
+        .map(|(operator, at, json, about)| Options { operator, at, json, about: About::Record(about) })
+        .to_options()
+        .descr("What the servers keep together: its standing, documents and history")
+        .command("record");
+    construct!([members, explain, kept])
 }
 
 /// Asks and prints.
 pub fn ask(options: &Options) -> Result<(), String> {
+    if let About::Record(record::About::Verify(file)) = &options.about {
+        let text = record::verify(file, options.json)?;
+        let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
+        return Ok(());
+    }
     let file = options.operator.display();
     let operator = load_operator(&options.operator, None)?;
     let fleet =
@@ -71,6 +86,11 @@
     let what = match &options.about {
         About::Members => What::Members,
         About::Explain(name) => What::Explain(name.clone()),
+        About::Record(about) => {
+            let text = record::run(&fleet, at, about, options.json)?;
+            let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
+            return Ok(());
+        }
     };
     let reply = question(&fleet, at, what)?;
     let json = |value: Result<String, serde_json::Error>| value.map_err(|e| e.to_string());
@@ -79,6 +99,7 @@
         Reply::Explain(evidence) if options.json => json(serde_json::to_string_pretty(evidence))?,
         Reply::Members(view) => table(view),
         Reply::Explain(evidence) => reasons(evidence),
+        Reply::Record(_) => return Err(format!("{at}: an answer to something else")),
         Reply::Unknown(names) => {
             return Err(format!("{at} knows no such member, it knows: {}", names.join(", ")));
         }
--- a/crates/server/src/wire/fleet.rs
+++ b/crates/server/src/wire/fleet.rs
@@ -7,6 +7,8 @@
 use umberloom_allowance::AllowanceView;
 use umberloom_membership::{Counts, Evidence, MemberView, Standing};
 
+use crate::wire::record::{self, Asked};
+
 /// The longest content.
 pub const LONGEST: usize = umberloom_membership::wire::LONGEST;
 /// Bytes before the content.
@@ -57,6 +59,8 @@
     Members,
     /// Why this member is held for what it is.
     Explain(String),
+    /// Something about the record.
+    Record(Asked),
 }
 
 /// A question; its number comes back with the answer.
@@ -100,6 +104,8 @@
     Explain(Vec<Evidence>),
     /// There is no member of that name: these are known.
     Unknown(Vec<String>),
+    /// About the record.
+    Record(record::Told),
 }
 
 /// An answer to the question of this number.
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod http;
 pub mod jsonl;
+pub mod record;
 pub mod responder;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/server/tests/fleet_record.rs
@@ -0,0 +1,445 @@
+//! One record that several server processes keep together, and faults between them and of their disks. Requests go on
+//! during all of it, and what must always hold for them is checked at the end of each test.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{options, rest, sound, OrPanic};
+use serde_json::Value;
+use umberloom_rig::linear::{breaches, Operation};
+use umberloom_rig::Fleet;
+
+/// So many servers that keep a record with short times; with disks, or without.
+fn keeping(servers: usize, voters: usize, disk: bool) -> Fleet {
+    let mut told = options(servers);
+    told.record = Some(format!("voters={voters} election-ms=400 replace-after-s=3"));
+    told.disk = disk.then(|| "most-mb=64".to_owned());
+    let mut fleet = Fleet::start(told).unwrap_or_else(|why| panic!("{why}"));
+    fleet.until_kept(voters).done();
+    fleet.ask(2, Duration::from_millis(20));
+    fleet
+}
+
+/// Writes a document at a server; its version.
+fn put(fleet: &Fleet, n: usize, name: &str, content: &str) -> Result<u64, String> {
+    let file = fleet.servers[n].folder.join("document");
+    std::fs::write(&file, content).map_err(|e| e.to_string())?;
+    let said = fleet.record(n, &["put", name, &file.display().to_string()])?;
+    said["version"].as_u64().ok_or(said.to_string())
+}
+
+/// The latest content of a document, asked for at a server.
+fn latest(fleet: &Fleet, n: usize, name: &str) -> Result<String, String> {
+    let said = fleet.record(n, &["show", name])?;
+    Ok(said["content"].as_str().unwrap_or_default().to_owned())
+}
+
+fn until_leads(fleet: &Fleet, but: usize) -> usize {
+    fleet.until("another leader", |fleet| fleet.leader().is_some_and(|n| n != but)).done();
+    fleet.leader().expect("a leader")
+}
+
+/// A voter that does not lead.
+fn voter(fleet: &Fleet) -> usize {
+    let votes = |n: &usize| fleet.kept(*n, "role") == "Voter";
+    (0..fleet.servers.len()).find(votes).expect("a voter")
+}
+
+/// What a server said with this message.
+fn said(fleet: &mut Fleet, n: usize, message: &str) -> Vec<Value> {
+    fleet.servers[n].read_log();
+    let name = fleet.servers[n].name.clone();
+    fleet.history.said(&name, message).into_iter().map(|event| event.what).collect()
+}
+
+/// Clients at these servers that write and read one register until they are told to stop.
+struct Clients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<Vec<Operation>>>,
+}
+
+impl Clients {
+    fn start(fleet: &Fleet, seed: u128) -> Clients {
+        let (stop, start) = (Arc::new(AtomicBool::new(false)), Instant::now());
+        let at = fleet.servers.iter().zip(0u128..).map(|(server, n)| {
+            let (stop, folder) = (stop.clone(), server.folder.join(format!("client-{seed}")));
+            let program = common::program().to_owned();
+            let (operator, address) = (server.operator_file(), server.fleet.to_string());
+            std::thread::spawn(move || {
+                let ask = |words: &[&str]| {
+                    let mut command = std::process::Command::new(&program);
+                    command.args(["fleet", "record", "--json", "--operator"]).arg(&operator);
+                    let output = command.args(["--at", &address]).args(words).output().ok()?;
+                    let said: Option<Value> = serde_json::from_slice(&output.stdout).ok();
+                    said.filter(|_| output.status.success())
+                };
+                let now = || start.elapsed().as_micros() as u64;
+                let mut all = Vec::new();
+                for round in 0u128.. {
+                    if stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let value = (seed << 64) + (n << 32) + round + 1;
+                    let write = (round + n) % 3 != 0;
+                    let mut one = match write {
+                        true => Operation::write("x", now(), value),
+                        false => Operation::read("x", now()),
+                    };
+                    let told = if write {
+                        let _ = std::fs::write(&folder, value.to_string());
+                        ask(&["put", "x", &folder.display().to_string()])
+                            .map(|said| (said["version"].as_u64(), value))
+                    } else {
+                        ask(&["show", "x"]).map(|said| {
+                            let content = said["content"].as_str().and_then(|text| text.parse().ok());
+                            (said["version"].as_u64(), content.unwrap_or(0))
+                        })
+                    };
+                    if let Some((Some(version), value)) = told {
+                        one.done(now(), version, value);
+                    }
+                    all.push(one);
+                }
+                all
+            })
+        });
+        Clients { threads: at.collect(), stop }
+    }
+
+    /// Ends them; at least so many operations must have been done, and all must be linearizable.
+    fn finish(self, least: usize) {
+        self.stop.store(true, Ordering::Relaxed);
+        let all: Vec<Operation> =
+            self.threads.into_iter().flat_map(|thread| thread.join().expect("a client")).collect();
+        let done = all.iter().filter(|operation| operation.told.is_some()).count();
+        assert!(done >= least, "{done} of {} operations were done", all.len());
+        assert_eq!(breaches(&all), Vec::<String>::new());
+    }
+}
+
+#[test]
+fn what_is_written_at_one_is_the_latest_at_all_and_outlives_the_processes() {
+    let mut fleet = keeping(3, 3, true);
+    assert_eq!(put(&fleet, 0, "limits", "forty"), Ok(1));
+    for n in 0..3 {
+        assert_eq!(latest(&fleet, n, "limits"), Ok("forty".to_owned()));
+    }
+    // Compared and set: a version that is not there any more changes nothing and is told.
+    let file = fleet.servers[1].folder.join("document");
+    std::fs::write(&file, "fifty").expect("written");
+    let why = fleet.record(1, &["put", "--expect", "0", "limits", &file.display().to_string()]);
+    assert!(why.as_ref().is_err_and(|why| why.contains("it has version 1 now")), "{why:?}");
+    let record = fleet.kept(0, "record");
+    let copies: Vec<Value> = (0..3).map(|n| fleet.kept(n, "copy")).collect();
+    (0..3).for_each(|n| fleet.servers[n].kill());
+    (0..3).for_each(|n| fleet.servers[n].start().expect("a process"));
+    fleet.until_kept(3).done();
+    assert_eq!((fleet.kept(0, "record"), latest(&fleet, 2, "limits")), (record, Ok("forty".to_owned())));
+    // The same copies, not new ones: a disk that is there is used.
+    assert_eq!((0..3).map(|n| fleet.kept(n, "copy")).collect::<Vec<_>>(), copies);
+    // What an operator keeps can be checked without a server, and a change of it is seen.
+    let kept = fleet.servers[0].folder.join("kept");
+    fleet.record(0, &["export", &kept.display().to_string()]).expect("exported");
+    let found = fleet.record(1, &["verify", &kept.display().to_string()]).expect("sound");
+    assert_eq!(found["documents"][0][0], "limits");
+    let mut bytes = std::fs::read(&kept).expect("there");
+    *bytes.last_mut().expect("bytes") ^= 1;
+    std::fs::write(&kept, bytes).expect("written");
+    assert!(fleet.record(1, &["verify", &kept.display().to_string()]).is_err());
+    sound(fleet);
+}
+
+#[test]
+fn leaders_are_killed_and_paused_and_no_client_sees_anything_old() {
+    let mut fleet = keeping(3, 3, true);
+    let clients = Clients::start(&fleet, 1);
+    for round in 0..4 {
+        rest(1_200);
+        let leader = fleet.leader().expect("a leader");
+        if round % 2 == 0 {
+            fleet.servers[leader].kill();
+            until_leads(&fleet, leader);
+            fleet.servers[leader].start().expect("a process");
+        } else {
+            fleet.servers[leader].stop(true);
+            until_leads(&fleet, leader);
+            rest(1_500);
+            // It wakes and believes that it leads: what it is asked then is in the clients' histories.
+            fleet.servers[leader].stop(false);
+        }
+        fleet.until_kept(3).done();
+    }
+    clients.finish(60);
+    sound(fleet);
+}
+
+#[test]
+fn a_minority_writes_nothing_and_says_why_and_the_majority_goes_on() {
+    let fleet = keeping(5, 3, false);
+    let leader = fleet.leader().expect("a leader");
+    let learners: Vec<usize> = (0..5).filter(|n| fleet.kept(*n, "role") == "Learner").collect();
+    // The leader with one that learns, and the other two voters with the last.
+    let others: Vec<usize> = (0..5).filter(|n| *n != leader && *n != learners[0]).collect();
+    fleet.part(&[&[leader, learners[0]], &others]);
+    let new = until_leads(&fleet, leader);
+    assert!(others.contains(&new));
+    assert_eq!(put(&fleet, new, "x", "from the majority"), Ok(1));
+    let why = put(&fleet, leader, "x", "from the minority").expect_err("no majority");
+    assert!(why.contains("it took too long") || why.contains("nobody leads"), "{why}");
+    let why = latest(&fleet, leader, "x").expect_err("no majority");
+    assert!(why.contains("it took too long") || why.contains("nobody leads"), "{why}");
+    // As it is there it can be read, with its age.
+    let local = fleet.record(learners[0], &["show", "--local", "x"]);
+    assert!(local.is_err_and(|why| why.contains("no document")));
+    fleet.heal();
+    fleet.until("one record", |fleet| latest(fleet, leader, "x").is_ok()).done();
+    // The minority's write may come through now, after the other: never in its place.
+    let version = fleet.record(leader, &["show", "x"]).expect("there")["version"].as_u64();
+    let content = latest(&fleet, leader, "x").expect("there");
+    assert!(matches!(
+        (version, content.as_str()),
+        (Some(1), "from the majority") | (Some(2), "from the minority")
+    ));
+    sound(fleet);
+}
+
+#[test]
+fn over_a_star_a_chain_and_one_way_cuts_there_is_a_leader() {
+    let fleet = keeping(5, 5, false);
+    let cases = ["star", "chain", "deaf leader"];
+    for (case, name) in cases.into_iter().zip(1u64..) {
+        let leader = fleet.leader().expect("a leader");
+        let others: Vec<usize> = (0..5).filter(|n| *n != leader).collect();
+        let hub = others[0];
+        match case.len() {
+            4 => {
+                // Everyone reaches one that does not lead, and nobody else.
+                for n in (0..5).filter(|n| *n != hub) {
+                    fleet.part(&[&[n], &(0..5).filter(|o| *o != hub && *o != n).collect::<Vec<_>>()]);
+                }
+            }
+            5 => {
+                let chain = [others[1], leader, hub, others[2], others[3]];
+                for a in 0..5usize {
+                    for b in (0..5).filter(|b| a.abs_diff(*b) > 1) {
+                        fleet.change(chain[a], chain[b], |faults| faults.cut = true);
+                    }
+                }
+            }
+            _ => others.iter().for_each(|other| fleet.change(*other, leader, |faults| faults.cut = true)),
+        }
+        fleet.until(case, |fleet| put(fleet, hub, "x", case).is_ok()).done();
+        let before = fleet.kept(hub, "term").as_u64();
+        rest(2_500);
+        let after = fleet.kept(hub, "term").as_u64();
+        assert!(after <= before.map(|term| term + 2), "{case}: {before:?} to {after:?}: endless elections");
+        assert_eq!(latest(&fleet, hub, "x"), Ok(case.to_owned()), "{case}, document {name}");
+        fleet.heal();
+        fleet.until_all("whole").done();
+        fleet.until_kept(5).done();
+    }
+    sound(fleet);
+}
+
+#[test]
+fn one_whose_disk_is_gone_comes_back_under_a_new_number_and_catches_up() {
+    let mut fleet = keeping(3, 3, true);
+    let n = voter(&fleet);
+    put(&fleet, n, "x", "before").expect("written");
+    let copy = fleet.kept(n, "copy");
+    fleet.servers[n].kill();
+    fleet.servers[n].lose_disk();
+    put(&fleet, fleet.leader().expect("a leader"), "x", "meanwhile").expect("written");
+    fleet.servers[n].start().expect("a process");
+    fleet.until_kept(3).done();
+    assert_ne!(fleet.kept(n, "copy"), copy);
+    assert_eq!(fleet.record(n, &["show", "--local", "x"]).expect("there")["content"], "meanwhile");
+    sound(fleet);
+}
+
+#[test]
+fn one_whose_disk_was_set_back_does_not_vote_with_it() {
+    let mut fleet = keeping(3, 3, true);
+    let n = voter(&fleet);
+    fleet.servers[n].kill();
+    let old = fleet.servers[n].disk_image().expect("a file");
+    fleet.servers[n].start().expect("a process");
+    fleet.until_kept(3).done();
+    let copy = fleet.kept(n, "copy");
+    for round in 0..5 {
+        put(&fleet, n, "x", &format!("round {round}")).expect("written");
+    }
+    rest(600);
+    fleet.servers[n].kill();
+    fleet.servers[n].put_disk(&old).expect("put back");
+    fleet.servers[n].start().expect("a process");
+    fleet.until_kept(3).done();
+    assert_ne!(fleet.kept(n, "copy"), copy, "it voted under its old number");
+    assert_eq!(said(&mut fleet, n, "record: this copy was set back").len(), 1);
+    assert!(
+        fleet.servers[n].record_folder().join("rows.redb.aside-1").exists(),
+        "the old copy stays for the operator"
+    );
+    assert_eq!(latest(&fleet, n, "x"), Ok("round 4".to_owned()));
+    sound(fleet);
+}
+
+#[test]
+fn flipped_bits_at_rest_and_while_it_runs_are_told_set_aside_and_put_right() {
+    let mut told = options(3);
+    told.record = Some("voters=3 election-ms=400 replace-after-s=30".to_owned());
+    told.disk = Some("most-mb=64 scrub-s=1".to_owned());
+    let mut fleet = Fleet::start(told).unwrap_or_else(|why| panic!("{why}"));
+    fleet.until_kept(3).done();
+    fleet.ask(2, Duration::from_millis(20));
+    put(&fleet, 0, "x", &"content ".repeat(4_000)).expect("written");
+    let n = voter(&fleet);
+    fleet.servers[n].kill();
+    fleet.servers[n].flip_disk(8_000, 500).expect("flipped");
+    fleet.servers[n].start().expect("a process");
+    // It serves at once, whatever its disk holds.
+    fleet.servers[n].wait_until_well().done();
+    fleet.until_kept(3).done();
+    let lines = said(&mut fleet, n, "record: what was on the disk is set aside");
+    let why = lines.first().map(|line| line["why"].to_string()).unwrap_or_default();
+    assert!(why.contains("rows.redb: damaged at"), "{lines:?}");
+    // And while it runs: found by reading all of it, without a restart.
+    let m = voter(&fleet);
+    let copy = fleet.kept(m, "copy");
+    fleet.servers[m].flip_disk(8_000, 500).expect("flipped");
+    fleet
+        .until("a new copy", |fleet| !fleet.kept(m, "copy").is_null() && fleet.kept(m, "copy") != copy)
+        .done();
+    fleet.until_kept(3).done();
+    assert_eq!(latest(&fleet, m, "x").map(|content| content.len()), Ok(32_000));
+    sound(fleet);
+}
+
+#[test]
+fn a_fleet_without_disks_that_ends_as_a_whole_begins_a_new_record_and_says_so() {
+    let mut fleet = keeping(3, 3, false);
+    put(&fleet, 0, "x", "lost").expect("written");
+    let record = fleet.kept(0, "record");
+    // One at a time nothing is lost.
+    for n in 0..3 {
+        fleet.servers[n].kill();
+        fleet.servers[n].start().expect("a process");
+        fleet.until_kept(3).done();
+    }
+    assert_eq!((fleet.kept(0, "record"), latest(&fleet, 1, "x")), (record.clone(), Ok("lost".to_owned())));
+    (0..3).for_each(|n| fleet.servers[n].kill());
+    (0..3).for_each(|n| fleet.servers[n].start().expect("a process"));
+    fleet.until_kept(3).done();
+    assert_ne!(fleet.kept(0, "record"), record);
+    let begun: usize = (0..3).map(|n| said(&mut fleet, n, NEW).len()).sum();
+    assert_eq!(begun, 2, "each new record is told of by its founder");
+    sound(fleet);
+}
+
+/// What a founder says.
+const NEW: &str = "a new record begins: what an earlier one held is not in it";
+
+#[test]
+fn a_voter_that_is_gone_for_long_is_replaced_and_learns_when_it_returns() {
+    let mut fleet = keeping(5, 3, true);
+    let n = voter(&fleet);
+    let name = fleet.servers[n].name.clone();
+    fleet.servers[n].kill();
+    let replaced = |fleet: &Fleet| {
+        let copies = fleet.leader().map(|leader| fleet.kept(leader, "copies"));
+        let copies = copies.and_then(|copies| copies.as_array().cloned()).unwrap_or_default();
+        let votes: Vec<&Value> = copies.iter().filter(|copy| copy["votes"] == true).collect();
+        votes.len() == 3 && votes.iter().all(|copy| copy["name"] != name.as_str())
+    };
+    fleet.until("another voter", replaced).done();
+    fleet.servers[n].start().expect("a process");
+    fleet.until_kept(3).done();
+    assert_eq!(fleet.kept(n, "role"), "Learner");
+    // By hand it votes again, in the place of another, and stays.
+    fleet.record(n, &["promote", &name]).expect("asked");
+    fleet.until("its vote", |fleet| fleet.kept(n, "role") == "Voter").done();
+    rest(1_500);
+    fleet.until_kept(3).done();
+    assert_eq!(fleet.kept(n, "role"), "Voter");
+    let leader = fleet.leader().expect("a leader");
+    let why = fleet.record(leader, &["promote", &name]).expect_err("it votes");
+    assert!(why.contains("votes already"), "{why}");
+    sound(fleet);
+}
+
+#[test]
+fn a_leader_that_is_told_to_end_hands_over_and_its_drain_is_not_held_up() {
+    let mut fleet = keeping(3, 3, true);
+    put(&fleet, 0, "x", "kept").expect("written");
+    let leader = fleet.leader().expect("a leader");
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    fleet.servers[leader].terminate();
+    until_leads(&fleet, leader);
+    let status = fleet.servers[leader].wait_until_ended().expect("it ends");
+    assert!(status.success(), "{status}");
+    // Nobody had to miss it first: the others were asked, and did not wait for an election.
+    fleet.servers.iter_mut().for_each(umberloom_rig::server::Server::read_log);
+    let found: Vec<usize> = others.iter().copied().filter(|n| fleet.kept(*n, "role") == "Leader").collect();
+    assert_eq!(found.len(), 1);
+    assert_eq!(latest(&fleet, found[0], "x"), Ok("kept".to_owned()));
+    fleet.servers[leader].start().expect("a process");
+    fleet.until_kept(3).done();
+    sound(fleet);
+}
+
+#[test]
+fn one_far_behind_catches_up_while_it_serves_and_is_killed_on_the_way_three_times() {
+    let mut told = options(3);
+    told.record = Some("voters=3 election-ms=400 replace-after-s=60 catch-up-kb=1500".to_owned());
+    told.disk = Some("most-mb=64".to_owned());
+    let mut fleet = Fleet::start(told).unwrap_or_else(|why| panic!("{why}"));
+    fleet.until_kept(3).done();
+    fleet.ask(2, Duration::from_millis(20));
+    let n = voter(&fleet);
+    fleet.servers[n].kill();
+    let leader = fleet.leader().expect("a leader");
+    let large: String = (0..100_000).map(|n| format!("{n:07},")).collect();
+    for document in 0..12 {
+        put(&fleet, leader, &format!("large{document}"), &large).expect("written");
+    }
+    let mut highest = 0;
+    for _ in 0..3 {
+        fleet.servers[n].start().expect("a process");
+        let there = |fleet: &Fleet| fleet.kept(n, "catching_up")[0].as_u64();
+        fleet.until("pieces", |fleet| there(fleet).is_some_and(|there| there > highest + 10)).done();
+        // It serves, and says how far it is; beats are not held up by pieces.
+        fleet.until_all("whole").done();
+        highest = there(&fleet).unwrap_or(highest);
+        fleet.servers[n].kill();
+    }
+    fleet.servers[n].start().expect("a process");
+    fleet.until_kept(3).done();
+    let large_ones = |line: &&Value| line["bytes"].as_u64() > Some(5_000_000);
+    assert_eq!(said(&mut fleet, n, "record caught up").iter().filter(large_ones).count(), 1);
+    assert_eq!(latest(&fleet, n, "large11").map(|content| content.len()), Ok(large.len()));
+    sound(fleet);
+}
+
+#[test]
+fn a_disk_that_can_t_be_used_costs_its_server_the_record_and_nothing_else() {
+    let mut fleet = keeping(3, 3, true);
+    let n = voter(&fleet);
+    fleet.servers[n].kill();
+    fleet.servers[n].lose_disk();
+    // A file where the folder should be.
+    let folder = fleet.servers[n].record_folder();
+    std::fs::write(&folder, "not a folder").expect("written");
+    fleet.servers[n].start().expect("a process");
+    fleet.servers[n].wait_until_well().done();
+    fleet.until("a line about it", |fleet| fleet.servers[n].log().contains("expected a folder")).done();
+    assert!(fleet.record(n, &["status"]).is_err_and(|why| why.contains("its disk can't be used now")));
+    put(&fleet, (n + 1) % 3, "x", "by the others").expect("written");
+    std::fs::remove_file(&folder).expect("removed");
+    // Without a restart.
+    fleet.until_kept(3).done();
+    assert_eq!(latest(&fleet, n, "x"), Ok("by the others".to_owned()));
+    sound(fleet);
+}
--- a/crates/store/src/backend.rs
+++ b/crates/store/src/backend.rs
@@ -1,6 +1,6 @@
 //! `redb` on the seam: its file, and a look at it that writes nothing.
 
-use std::collections::BTreeMap;
+use std::collections::btree_map::{BTreeMap, Entry};
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -109,13 +109,11 @@
             let at = offset + done as u64;
             let (part, from) = (at / PART, (at % PART) as usize);
             let take = (PART as usize - from).min(data.len() - done);
-            if !over.1.contains_key(&part) {
-                let below = self.below(part)?;
-                over.1.insert(part, below);
-            }
-            if let Some(bytes) = over.1.get_mut(&part) {
-                bytes[from..from + take].copy_from_slice(&data[done..done + take]);
-            }
+            let bytes = match over.1.entry(part) {
+                Entry::Occupied(place) => place.into_mut(),
+                Entry::Vacant(place) => place.insert(self.below(part)?),
+            };
+            bytes[from..from + take].copy_from_slice(&data[done..done + take]);
             done += take;
         }
         Ok(())
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -26,10 +26,12 @@
 
 mod backend;
 pub mod disk;
+mod guarded;
 pub mod simulated;
 mod store;
 mod trouble;
 pub mod writer;
 
+pub use guarded::guarded;
 pub use store::{Batch, Config, Migration, Row, Store};
 pub use trouble::Trouble;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,7 +2,6 @@
 
 use std::any::Any;
 use std::io::{self, ErrorKind};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -167,9 +166,7 @@
 
 /// What reads a damaged file may fail an assertion inside; that is damage found, not a reason to end.
 fn guarded<T>(file: &Path, act: impl FnOnce() -> Result<T, Trouble>) -> Result<T, Trouble> {
-    catch_unwind(AssertUnwindSafe(act)).unwrap_or_else(|panic| {
-        let said = panic.downcast_ref::<String>().map(String::as_str).or(panic.downcast_ref().copied());
-        let what = said.unwrap_or("it can't be read").to_owned();
+    crate::guarded::guarded(act).unwrap_or_else(|what| {
         Err(Trouble::Damaged { file: file.to_owned(), place: "whole".to_owned(), what })
     })
 }
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -7,7 +7,10 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::thread::JoinHandle;
 
-use crate::store::{Batch, Store};
+use std::path::PathBuf;
+
+use crate::disk::Disk;
+use crate::store::{Batch, Config, Row, Store};
 use crate::trouble::Trouble;
 
 /// Batches that become one commit at most.
@@ -20,9 +23,24 @@
     Compact,
 }
 
+/// What was found when the thread opened the store.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// All rows of the spaces that were asked for.
+    pub rows: Vec<(u8, Vec<Row>)>,
+    /// What was there could not be read: where it is now, and what was wrong with it.
+    pub aside: Option<(PathBuf, String)>,
+    /// How many commits there had been.
+    pub generation: u64,
+}
+
 /// What has been done.
 #[derive(Debug)]
 pub enum Done {
+    /// The store is open.
+    Opened(Found),
+    /// It can't be opened; the thread has ended.
+    Closed(Trouble),
     /// All batches up to this number are durable; how often it was synced so far, and bytes of all rows.
     Durable(u64, u64),
     /// From this number on nothing is durable; the thread takes no further batches.
@@ -51,6 +69,43 @@
         Ok(Writer { jobs: Some(jobs), thread: Some(thread) })
     }
 
+    /// Starts the thread and has it open the store, which may take long. What is damaged is set aside first; `fresh` sets
+    /// aside whatever is there.
+    pub fn open(
+        disk: impl Disk + Send + 'static,
+        config: Config,
+        spaces: &'static [u8],
+        fresh: bool,
+        queue: usize,
+        tell: impl Fn(Done) + Send + 'static,
+    ) -> std::io::Result<Writer> {
+        let (jobs, taken) = sync_channel(queue);
+        let open = move || {
+            let mut aside = None;
+            if fresh && disk.exists(&config.file()) {
+                aside = Some((Store::set_aside(&disk, &config)?, "its copy is not to be used".to_owned()));
+            }
+            let mut store = Store::open(&disk, &config);
+            if let Some(why) = store.as_ref().err().filter(|why| why.is_damage()).map(ToString::to_string) {
+                aside = Some((Store::set_aside(&disk, &config)?, why));
+                store = Store::open(&disk, &config);
+            }
+            let store = store?;
+            let rows = spaces.iter().map(|space| Ok((*space, store.range(*space, &[], None, usize::MAX)?)));
+            let rows = rows.collect::<Result<Vec<_>, Trouble>>()?;
+            let generation = store.generation();
+            Ok((store, Found { rows, aside, generation }))
+        };
+        let thread = std::thread::Builder::new().name("store".to_owned()).spawn(move || match open() {
+            Ok((store, found)) => {
+                tell(Done::Opened(found));
+                work(store, taken, tell);
+            }
+            Err(why) => tell(Done::Closed(why)),
+        })?;
+        Ok(Writer { jobs: Some(jobs), thread: Some(thread) })
+    }
+
     fn give(&self, job: Job) -> Result<(), Job> {
         let Some(jobs) = &self.jobs else { return Err(job) };
         jobs.try_send(job).map_err(|e| match e {
@@ -76,12 +131,9 @@
         self.give(Job::Compact).is_ok()
     }
 
-    /// Ends the thread once all that was asked for is done.
+    /// Ends the thread once all that was asked for is done, and waits for that. A writer that is dropped ends its thread
+    /// too, and nobody waits.
     pub fn finish(mut self) {
-        self.end();
-    }
-
-    fn end(&mut self) {
         self.jobs = None;
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -89,12 +141,6 @@
     }
 }
 
-impl Drop for Writer {
-    fn drop(&mut self) {
-        self.end();
-    }
-}
-
 fn work(mut store: Store, jobs: Receiver<Job>, tell: impl Fn(Done)) {
     let mut failed = false;
     let mut next = jobs.recv().ok();
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -112,9 +112,9 @@
     for seed in 0..120 {
         let disk = SimulatedDisk::new(seed);
         let mut store = Store::open(&disk, &config()).expect("new");
-        (1..=4).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+        (1..=4).for_each(|n| assert_eq!(store.commit(batch(n)).expect("durable"), n));
         disk.set(Faults { syncs_lie: true, ..Faults::default() });
-        (5..=7).for_each(|n| drop(store.commit(batch(n)).expect("told to be durable")));
+        (5..=7).for_each(|n| assert_eq!(store.commit(batch(n)).expect("told to be durable"), n));
         disk.cut_power();
         drop(store);
         match Store::open(&disk, &config()) {
@@ -169,7 +169,7 @@
 fn a_bit_that_turns_over_while_it_runs_is_found_by_reading_or_by_a_scrub() {
     let disk = SimulatedDisk::new(3);
     let mut store = Store::open(&disk, &config()).expect("new");
-    (1..=COMMITS).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+    (1..=COMMITS).for_each(|n| assert_eq!(store.commit(batch(n)).expect("durable"), n));
     assert!(store.scrub().is_ok());
     let file = config().file();
     let mut found = 0;
@@ -282,7 +282,7 @@
     let folder = std::env::temp_dir().join(format!("umberloom-store-{}", std::process::id()));
     let config = Config { most: 1 << 20, ..Config::new(&folder) };
     let mut store = Store::open(&RealDisk, &config).expect("new");
-    (1..=COMMITS).for_each(|n| drop(store.commit(batch(n)).expect("durable")));
+    (1..=COMMITS).for_each(|n| assert_eq!(store.commit(batch(n)).expect("durable"), n));
     assert!(matches!(Store::open(&RealDisk, &config), Err(Trouble::Locked(_))));
     drop(store);
     let mut store = Store::open(&RealDisk, &config).expect("again");
