--- /dev/null
+++ b/crates/record/src/record/library.rs
@@ -0,0 +1,313 @@
+//! The library's part: what goes in, what comes out, and what has to be durable in between.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChangeV2, EntryType, Message, MessageType};
+use raft::RawNode;
+use rand::RngExt;
+use umberloom_membership::Name;
+use umberloom_store::{guarded, Batch};
+
+use super::{bounded, Action, Class, Other, Record, Step, Told, BEAT_TICKS, COMPACT_AFTER, MESSAGE, TICKS};
+use crate::log::{Log, Manifest};
+use crate::state::{Member, State};
+use crate::transfer::Transfer;
+use crate::witness::Seen;
+use crate::words::Word;
+use crate::Micros;
+
+impl Record {
+    /// Gives the log to the library.
+    pub(super) fn begin(&mut self, log: Log) {
+        let config = raft::Config {
+            id: self.copy.id,
+            election_tick: TICKS,
+            heartbeat_tick: BEAT_TICKS,
+            applied: self.state.index,
+            max_size_per_msg: MESSAGE,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            max_uncommitted_size: 16 << 20,
+            max_committed_size_per_ready: 4 << 20,
+            ..raft::Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        match guarded(|| RawNode::new(&config, log, &logger)) {
+            Ok(Ok(node)) => self.node = Some(node),
+            Ok(Err(e)) => self.set_aside(format!("the log makes no sense: {e}")),
+            Err(why) => self.set_aside(format!("the log makes no sense: {why}")),
+        }
+    }
+
+    /// This copy ends here; the host begins anew without it.
+    pub(super) fn set_aside(&mut self, why: String) {
+        (self.node, self.ended) = (None, true);
+        self.steps.clear();
+        bounded(&mut self.actions, Action::SetAside(why));
+    }
+
+    pub(super) fn persist(&mut self, batch: Batch) {
+        self.given += 1;
+        bounded(&mut self.actions, Action::Persist(self.given, batch));
+    }
+
+    /// Calls the library. What it can't go on with is this copy's end, not the server's.
+    pub(super) fn with<T>(&mut self, act: impl FnOnce(&mut RawNode<Log>) -> T) -> Option<T> {
+        let node = self.node.as_mut()?;
+        match guarded(|| act(node)) {
+            Ok(found) => {
+                // The library draws its election times from the machine; drawn here, a run can be played again.
+                if node.raft.randomized_election_timeout() != self.timeout {
+                    self.timeout = self.random.random_range(TICKS..2 * TICKS);
+                    node.raft.set_randomized_election_timeout(self.timeout);
+                }
+                Some(found)
+            }
+            Err(why) => {
+                self.tell(Told::Broken(why.clone()));
+                self.set_aside(format!("the log and what others say of it do not fit: {why}"));
+                None
+            }
+        }
+    }
+
+    /// A message of the library.
+    pub(super) fn step(&mut self, now: Micros, message: Message) {
+        if self.returning.is_some() || self.node.is_none() {
+            return;
+        }
+        // A leader never says this to a copy that has not told it to have so much: one that has, and has not any more,
+        // was set back. The library would end the process over it.
+        let last = self.node.as_ref().map_or(0, |node| node.store().last());
+        let beat = message.get_msg_type() == MessageType::MsgHeartbeat;
+        if beat && message.commit > last {
+            let seen = Seen { starts: self.copy.starts, term: message.term, last: message.commit };
+            self.tell(Told::SetBack(seen));
+            return self
+                .set_aside(format!("a leader counts on entry {}, the last here is {last}", message.commit));
+        }
+        if matches!(
+            message.get_msg_type(),
+            MessageType::MsgHeartbeat | MessageType::MsgAppend | MessageType::MsgSnapshot
+        ) {
+            self.leader.1 = now;
+        }
+        if message.get_msg_type() == MessageType::MsgSnapshot {
+            return self.snapshot(now, message);
+        }
+        self.with(|node| drop(node.step(message)));
+    }
+
+    /// A leader wants us to take a snapshot: its pieces are fetched first.
+    pub(super) fn snapshot(&mut self, now: Micros, message: Message) {
+        let Ok(manifest) = postcard::from_bytes::<Manifest>(&message.get_snapshot().data) else { return };
+        let (index, held) = match &self.node {
+            Some(node) => (message.get_snapshot().get_metadata().index, node.raft.raft_log.committed),
+            None => return,
+        };
+        if index <= held {
+            self.with(|node| drop(node.step(message)));
+            return;
+        }
+        match &mut self.transfer {
+            Some((transfer, waiting)) if transfer.manifest() == manifest => *waiting = message,
+            _ => {
+                let had = std::mem::take(&mut self.had);
+                self.transfer = Transfer::new(now, manifest, self.config.catch_up, had).map(|t| (t, message));
+            }
+        }
+        self.fetch(now);
+    }
+
+    pub(super) fn fetch(&mut self, now: Micros) {
+        let Some((transfer, message)) = &mut self.transfer else { return };
+        if let Some(whole) = transfer.finish() {
+            let (manifest, took, message) = (transfer.manifest(), now - transfer.began(), message.clone());
+            self.transfer = None;
+            let index = message.get_snapshot().get_metadata().index;
+            self.tell(Told::CaughtUp(index, whole.len() as u64, took));
+            self.fetched = Some((manifest, Rc::new(whole)));
+            self.with(|node| drop(node.step(message)));
+            return;
+        }
+        if transfer.is_stuck(now) {
+            // Nobody has this one any more: without it the leader sees that we wait for nothing, and offers another.
+            self.transfer = None;
+            return;
+        }
+        // Whoever has it; the least loaded first, and the leader that offers it after those.
+        let wanted = transfer.manifest();
+        let has = |other: &&(&Name, &Other)| other.1.status.snapshot.1 == wanted;
+        let mut sources: Vec<(&Name, &Other)> =
+            self.others.iter().collect::<Vec<_>>().iter().filter(has).copied().collect();
+        sources.sort_by_key(|(_, other)| (Some(other.status.copy) == Some(message.from), other.status.load));
+        let sources: Vec<Name> = sources.into_iter().map(|(name, _)| name.clone()).collect();
+        for (from, number) in transfer.ask(now, &sources) {
+            self.send(&from, Word::Ask(wanted.digest, number), Class::Entry);
+        }
+    }
+
+    pub(super) fn send_raft(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let known = self.state.members.get(&message.to).map(|member| Name::from(member.name.as_str()));
+            let said =
+                || self.others.iter().find(|(_, o)| o.status.copy == message.to).map(|(n, _)| n.clone());
+            let Some(to) = known.or_else(said) else { continue };
+            let class = match message.get_msg_type() {
+                MessageType::MsgHeartbeat | MessageType::MsgHeartbeatResponse => Class::Beat,
+                MessageType::MsgRequestVote
+                | MessageType::MsgRequestVoteResponse
+                | MessageType::MsgRequestPreVote
+                | MessageType::MsgRequestPreVoteResponse
+                | MessageType::MsgTimeoutNow => Class::Vote,
+                _ => Class::Entry,
+            };
+            let bytes = message.write_to_bytes().unwrap_or_default();
+            self.send(&to, Word::Raft(message.to, bytes), class);
+        }
+    }
+
+    /// All batches up to this number are durable.
+    pub fn persisted(&mut self, now: Micros, number: u64) {
+        self.done = self.done.max(number);
+        self.release();
+        self.settle(now);
+    }
+
+    pub(super) fn release(&mut self) {
+        while self.steps.front().is_some_and(|step| step.needs <= self.done) {
+            let Some(step) = self.steps.pop_front() else { return };
+            self.durable = step.seen;
+            self.with(|node| node.on_persist_ready(step.ready));
+            self.send_raft(step.messages);
+        }
+    }
+
+    /// Takes out of the library all that it has ready.
+    pub(super) fn settle(&mut self, now: Micros) {
+        for _ in 0..1_000 {
+            if self.ended || self.returning.is_some() {
+                break;
+            }
+            let Some(mut ready) = self.with(|node| node.has_ready().then(|| node.ready())).flatten() else {
+                break;
+            };
+            let messages = ready.take_messages();
+            let mut batch = Batch::new();
+            if !ready.snapshot().is_empty() {
+                let meta = ready.snapshot().get_metadata().clone();
+                let fetched = self.fetched.take().map(|(_, bytes)| bytes);
+                let state = fetched.as_ref().and_then(|bytes| State::read(bytes));
+                let (Some(bytes), Some(state)) = (fetched, state) else {
+                    return self.set_aside("a snapshot can't be read".to_owned());
+                };
+                self.state = state;
+                self.compared.clear();
+                batch =
+                    batch.then(self.with(|node| node.mut_store().install(meta, bytes)).unwrap_or_default());
+            }
+            let (entries, hard) = (ready.take_entries(), ready.hs().cloned());
+            let must = ready.must_sync() || !entries.is_empty();
+            let wrote = self.with(|node| node.mut_store().append(entries, hard.as_ref())).unwrap_or_default();
+            if must {
+                // A commit index alone is learned again from the others.
+                batch = batch.then(wrote);
+            }
+            let committed = ready.take_committed_entries();
+            let kept = ready.take_persisted_messages();
+            for read in ready.take_read_states() {
+                let told = postcard::from_bytes::<(u64, u64, u32)>(&read.request_ctx);
+                let Ok((nonce, ticket, _)) = told else { continue };
+                if let Some(waiting) = self.reads.get_mut(&ticket).filter(|_| nonce == self.nonce) {
+                    waiting.index = Some(read.index);
+                }
+            }
+            let number = ready.number();
+            self.with(|node| node.advance_append_async(ready));
+            self.send_raft(messages);
+            if !batch.is_empty() {
+                self.persist(batch);
+            }
+            let seen = self.node.as_ref().map_or((0, 0), |n| (n.store().hard().term, n.store().last()));
+            self.steps.push_back(Step { ready: number, needs: self.given, messages: kept, seen });
+            self.apply(committed);
+            self.release();
+        }
+        self.compact();
+        self.answer(now);
+        self.note_role(now);
+    }
+
+    pub(super) fn apply(&mut self, committed: Vec<raft::eraftpb::Entry>) {
+        let Some(last) = committed.last().map(|entry| entry.index) else { return };
+        let mut changed = false;
+        for entry in committed {
+            match entry.get_entry_type() {
+                EntryType::EntryNormal => {
+                    if let Some(done) = self.state.apply(entry.index, &entry.data) {
+                        bounded(&mut self.outcomes, done);
+                    }
+                }
+                EntryType::EntryConfChange => self.state.apply_members(entry.index, &entry.data, |_| {}),
+                EntryType::EntryConfChangeV2 => {
+                    let change = ConfChangeV2::parse_from_bytes(&entry.data).unwrap_or_default();
+                    let member: Option<Member> = postcard::from_bytes(&change.context).ok().flatten();
+                    let conf = self.with(|node| {
+                        let conf = node.apply_conf_change(&change);
+                        if let Ok(conf) = &conf {
+                            node.mut_store().set_conf(conf.clone());
+                        }
+                        conf.ok()
+                    });
+                    let Some(Some(conf)) = conf else { continue };
+                    let ids: BTreeSet<u64> =
+                        [&conf.voters, &conf.learners, &conf.learners_next, &conf.voters_outgoing]
+                            .into_iter()
+                            .flatten()
+                            .copied()
+                            .collect();
+                    self.state.apply_members(entry.index, &entry.data, |members| {
+                        members.retain(|id, _| ids.contains(id));
+                        let added =
+                            change.changes.iter().map(|one| one.node_id).filter(|id| ids.contains(id));
+                        for id in added {
+                            if let Some(member) = &member {
+                                members.entry(id).or_insert_with(|| member.clone());
+                            }
+                        }
+                    });
+                    changed = true;
+                }
+            }
+        }
+        self.with(|node| node.advance_apply_to(last));
+        if changed {
+            // Who votes must be known before the next election even if nobody says it: a snapshot has it, and one from
+            // before a member came means nothing to that member.
+            self.make_snapshot();
+        }
+    }
+
+    pub(super) fn make_snapshot(&mut self) {
+        let (index, state) = (self.state.index, self.state.bytes());
+        if let Some(batch) = self.with(|node| node.mut_store().compact(index, state)) {
+            if !batch.is_empty() {
+                self.persist(batch);
+            }
+        }
+    }
+
+    pub(super) fn compact(&mut self) {
+        let Some(node) = &self.node else { return };
+        let (index, ..) = node.store().snapshot_bytes();
+        let since = self.state.index.saturating_sub(index);
+        let (_, bytes) = node.store().size();
+        let large = since >= COMPACT_AFTER.0 || bytes >= COMPACT_AFTER.1;
+        if since > 0 && (large || node.store().is_wanted()) {
+            self.make_snapshot();
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/src/record/membership.rs
@@ -0,0 +1,284 @@
+//! Who is in the record: how this server comes in, what it says of itself, and what it sees to while it leads.
+
+use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2};
+use raft::SnapshotStatus;
+use rand::Rng;
+use umberloom_membership::Name;
+
+use super::{Class, Other, Record, Refused, Role, Told, CAUGHT_UP};
+use crate::compare;
+use crate::log::{copy_batch, Copy, Log};
+use crate::rule::{self, Candidate, Change};
+use crate::state::{Member, State};
+use crate::witness::{Seen, Verdict};
+use crate::words::{Status, Word};
+use crate::Micros;
+
+impl Record {
+    pub(super) fn status(&mut self, now: Micros, from: &Name, boot: u64, status: Status) {
+        if self.others.get(from).is_some_and(|other| other.boot > boot) {
+            return;
+        }
+        self.memory.note(status.copy, status.seen);
+        if let Some(returning) = &mut self.returning {
+            returning.hear(from, status.of_you);
+        }
+        let ours = status.record == self.copy.record && self.copy.record != 0;
+        if ours && status.copy != 0 {
+            if let Some(chain) = self.state.digest_at(status.applied).filter(|_| status.applied > 0) {
+                self.compared.insert(status.copy, chain == status.chain);
+            }
+        }
+        // A copy that waits for a snapshot that it is not getting: the leader sends anew.
+        let waits = self.node.as_ref().and_then(|node| node.raft.prs().get(status.copy));
+        let stuck = waits.is_some_and(|progress| progress.state == raft::ProgressState::Snapshot);
+        if ours && stuck && !status.fetches && self.role == Role::Leader {
+            let copy = status.copy;
+            self.with(|node| node.report_snapshot(copy, SnapshotStatus::Failure));
+        }
+        self.others.insert(from.clone(), Other { boot, heard: now, status });
+    }
+
+    pub(super) fn status_every(&self) -> Micros {
+        // As beats of the membership: with many members each says it more seldom.
+        (self.config.election / 4).max(10_000 * self.config.others.len() as Micros)
+    }
+
+    /// Whether a returning copy may take part.
+    pub(super) fn returned(&mut self, now: Micros) {
+        let Some(returning) = &self.returning else { return };
+        let Some(node) = &self.node else { return };
+        let conf = node.store().conf();
+        let name = |id: &u64| self.state.members.get(id).map(|member| Name::from(member.name.as_str()));
+        let others: Vec<Name> =
+            conf.voters.iter().filter(|id| **id != self.copy.id).filter_map(name).collect();
+        match returning.verdict(&others) {
+            Verdict::Wait => {}
+            Verdict::Sound => {
+                self.returning = None;
+                self.tick_at = now;
+            }
+            Verdict::SetBack(seen) => {
+                self.tell(Told::SetBack(seen));
+                self.set_aside(format!("others remember term {} and entry {} of it", seen.term, seen.last));
+            }
+        }
+    }
+
+    /// Now and then: what we are is said, and what is due is done.
+    pub(super) fn look(&mut self, now: Micros) {
+        let fresh = 4 * self.status_every();
+        self.asks.retain(|_, (.., at)| now < *at + fresh);
+        if self.copy.id == 0 || self.copy.record == 0 {
+            self.join_or_found(now, fresh);
+        } else {
+            self.stay(now, fresh);
+        }
+        self.compare(now, fresh);
+        if self.role == Role::Leader {
+            self.lead(now, fresh);
+        }
+        let names: Vec<Name> = self.config.others.clone();
+        for name in names {
+            let status = self.say(&name);
+            self.send(&name, Word::Status(Box::new(status)), Class::Beat);
+        }
+    }
+
+    pub(super) fn say(&self, to: &Name) -> Status {
+        let node = self.node.as_ref();
+        let copy = self.others.get(to).map_or(0, |other| other.status.copy);
+        Status {
+            record: self.copy.record,
+            copy: self.copy.id,
+            seen: Seen { starts: self.copy.starts, term: self.durable.0, last: self.durable.1 },
+            votes: matches!(self.role, Role::Voter | Role::Leader),
+            applied: self.state.index,
+            chain: self.state.chain,
+            leader: self.leader.0.as_deref().map(Name::from),
+            reaches: self.reached.iter().take(64).cloned().collect(),
+            of_you: self.memory.of(copy),
+            same: self.compared.iter().filter(|(_, same)| **same).map(|(copy, _)| *copy).take(16).collect(),
+            fetches: self.transfer.is_some(),
+            snapshot: node.map_or_else(Default::default, |node| {
+                let (index, manifest, _) = node.store().snapshot_bytes();
+                (index, manifest)
+            }),
+            load: self.load,
+        }
+    }
+
+    /// Without a copy: one of a record that others have; or, if nobody of the whole roster has one, a new record.
+    pub(super) fn join_or_found(&mut self, now: Micros, fresh: Micros) {
+        let live = |other: &&Other| now < other.heard + fresh;
+        let known = self.others.values().filter(live).find(|o| o.status.record != 0);
+        if let Some(record) = known.map(|other| other.status.record) {
+            let id = self.random.next_u64().max(1);
+            self.copy = Copy { record, id, name: self.config.me.to_string(), starts: 1 };
+            let batch = copy_batch(&self.copy);
+            self.persist(batch);
+            return self.begin(Log::default());
+        }
+        let all = self
+            .config
+            .others
+            .iter()
+            .all(|name| self.others.get(name).is_some_and(|o| now < o.heard + fresh));
+        // All are there and none has a record: the first by name begins one, so that no two do.
+        let first = self.config.others.iter().all(|name| self.config.me < *name);
+        if !all || !first {
+            return;
+        }
+        let (record, id) = (self.random.next_u64().max(1), self.random.next_u64().max(1));
+        self.copy = Copy { record, id, name: self.config.me.to_string(), starts: 1 };
+        let member = Member { name: self.config.me.to_string(), zone: self.config.zone.to_string() };
+        self.state = State::found(record, id, member);
+        let (log, batch) = Log::found(id, self.state.bytes());
+        let batch = copy_batch(&self.copy).then(batch);
+        self.persist(batch);
+        self.begin(log);
+        self.tell(Told::Founded(record));
+    }
+
+    /// With a copy: asks to be taken in where it is not yet, and sees when its record is another than the one that lives.
+    pub(super) fn stay(&mut self, now: Micros, fresh: Micros) {
+        let inside = self.state.members.contains_key(&self.copy.id);
+        let live = |other: &&Other| now < other.heard + fresh;
+        if !inside {
+            let leader = self.others.values().filter(live).find_map(|o| {
+                (o.status.record == self.copy.record).then(|| o.status.leader.clone()).flatten()
+            });
+            if let Some(leader) = leader {
+                let word = Word::Join(self.copy.id, self.config.zone.clone());
+                self.send(&leader, word, Class::Entry);
+            }
+        }
+        // Another record is led, and ours has no leader for long: ours is the old one.
+        let led = self.others.values().filter(live).find(|o| {
+            o.status.record != 0 && o.status.record != self.copy.record && o.status.leader.is_some()
+        });
+        let led = led.map(|other| other.status.record);
+        let lone = self.leader.0.is_none() && now >= self.leader.1 + 5 * self.config.election;
+        if let Some(record) = led.filter(|_| lone) {
+            self.tell(Told::Foreign(self.copy.record, record));
+            self.set_aside(format!("another record ({record:016x}) is led, this one is not"));
+        }
+    }
+
+    pub(super) fn compare(&mut self, now: Micros, fresh: Micros) {
+        let Some(node) = &self.node else { return };
+        let voters = &node.store().conf().voters;
+        let status = |id: &u64| self.others.values().find(|o| o.status.copy == *id && now < o.heard + fresh);
+        let others: Vec<compare::Other> = voters
+            .iter()
+            .filter(|id| **id != self.copy.id)
+            .map(|id| compare::Other {
+                copy: *id,
+                same: self.compared.get(id).copied(),
+                agrees: status(id).map(|o| o.status.same.clone()).unwrap_or_default(),
+            })
+            .collect();
+        let verdict = compare::verdict(voters.contains(&self.copy.id), &others);
+        let frozen = verdict == compare::Verdict::NobodyKnows;
+        if frozen && !self.frozen {
+            self.tell(Told::Frozen);
+        }
+        self.frozen = frozen;
+        match verdict {
+            compare::Verdict::WeDiffer(group) => {
+                self.tell(Told::WeDiffer(group));
+                self.set_aside("it differs from the copies of a majority".to_owned());
+            }
+            compare::Verdict::TheyDiffer(copies) if copies != self.differing => {
+                self.differing.clone_from(&copies);
+                self.tell(Told::TheyDiffer(copies));
+            }
+            compare::Verdict::Fine => self.differing.clear(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn settings(&self) -> rule::Settings {
+        let there = (2 * self.config.election).max(4 * self.status_every());
+        rule::Settings { voters: self.config.voters, replace_after: self.config.replace_after, there }
+    }
+
+    pub(super) fn candidates(&self, now: Micros) -> Vec<Candidate> {
+        let Some(node) = &self.node else { return Vec::new() };
+        let commit = node.raft.raft_log.committed;
+        let one = |(copy, member): (&u64, &Member)| {
+            let other = self.others.get(member.name.as_str()).filter(|o| o.status.copy == *copy);
+            let heard = other.map_or(0, |o| o.heard).max(self.leads_since);
+            let me = *copy == self.copy.id;
+            Candidate {
+                copy: *copy,
+                name: member.name.clone(),
+                zone: member.zone.clone(),
+                votes: node.store().conf().voters.contains(copy),
+                silent: if me { 0 } else { now.saturating_sub(heard) },
+                caught_up: me || {
+                    let progress = node.raft.prs().get(*copy);
+                    let goes =
+                        |p: &&raft::Progress| p.state != raft::ProgressState::Snapshot && p.matched > 0;
+                    progress.filter(goes).is_some_and(|p| p.matched + CAUGHT_UP >= commit)
+                },
+                burden: other.map_or(0, |o| u32::from(o.status.load)),
+            }
+        };
+        self.state.members.iter().map(one).collect()
+    }
+
+    /// A leader sees to who is in the record.
+    pub(super) fn lead(&mut self, now: Micros, _fresh: Micros) {
+        let Some(node) = &self.node else { return };
+        if node.raft.has_pending_conf() || !node.store().conf().voters_outgoing.is_empty() {
+            return;
+        }
+        let asks = self.asks.iter().map(|(name, (copy, ..))| (name.clone(), *copy)).collect();
+        if let Some(change) = rule::due(&self.settings(), &self.candidates(now), &asks) {
+            self.change(&change);
+        }
+    }
+
+    pub(super) fn change(&mut self, change: &Change) {
+        use ConfChangeType::{AddLearnerNode, AddNode, RemoveNode};
+        let (steps, member): (Vec<_>, Option<Member>) = match change {
+            Change::Admit(copy, old) => {
+                let gone = old.iter().map(|old| (RemoveNode, *old));
+                let asked = self.asks.iter().find(|(_, (asks, ..))| asks == copy);
+                let member =
+                    asked.map(|(name, (_, zone, _))| Member { name: name.clone(), zone: zone.clone() });
+                (gone.chain([(AddLearnerNode, *copy)]).collect(), member)
+            }
+            Change::Promote(copy) => (vec![(AddNode, *copy)], None),
+            Change::Demote(copy) => (vec![(AddLearnerNode, *copy)], None),
+            Change::Replace(new, old) => (vec![(AddNode, *new), (AddLearnerNode, *old)], None),
+        };
+        let mut all = ConfChangeV2::default();
+        for (kind, id) in steps {
+            let mut one = ConfChangeSingle::default();
+            one.set_change_type(kind);
+            one.node_id = id;
+            all.changes.push(one);
+        }
+        all.context = postcard::to_allocvec(&member).unwrap_or_default().into();
+        let proposed = self.with(|node| node.propose_conf_change(vec![], all).is_ok());
+        if proposed == Some(true) {
+            self.tell(Told::Change(format!("{change:?}")));
+        }
+    }
+
+    /// An operator wants a member to vote, or not to. Only a leader can do that; others pass it on.
+    pub fn by_hand(&mut self, now: Micros, name: &str, votes: bool) -> Result<(), Refused> {
+        if self.role != Role::Leader {
+            let leader = self.leader.0.clone().ok_or(Refused::NoLeader)?;
+            self.send(&Name::from(leader.as_str()), Word::Hand(name.into(), votes), Class::Entry);
+            return Ok(());
+        }
+        let (settings, all) = (self.settings(), self.candidates(now));
+        let change = rule::by_hand(&settings, &all, self.copy.id, name, votes).map_err(Refused::Rule)?;
+        self.change(&change);
+        self.settle(now);
+        Ok(())
+    }
+}
