--- a/crates/lab/src/fleet_measures.rs
+++ b/crates/lab/src/fleet_measures.rs
@@ -9,6 +9,8 @@
 use umberloom_rig::virtual_fleet::{Network, VirtualFleet};
 use umberloom_rig::{Fleet, Options as Rig};
 
+use crate::record_measures;
+
 /// What is measured.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -30,16 +32,24 @@
     Idle(Vec<usize>, u64),
     /// Accusations while one member has its core for a part of the time only: servers, percent, seconds.
     Starved(usize, Vec<usize>, u64),
+    /// Writes to the record: seconds, clients.
+    Commits(u64, usize),
+    /// From a leader's end to another: times.
+    Leaders(usize),
+    /// One that returns from nothing: documents of 1 MB.
+    CatchUp(usize),
+    /// The store by itself.
+    Store,
 }
 
-fn table(head: &[&str]) -> Table {
+pub fn table(head: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_preset(presets::ASCII_MARKDOWN);
     table.set_header(head.to_vec());
     table
 }
 
-fn quantile(times: &mut [u64], share: f64) -> String {
+pub fn quantile(times: &mut [u64], share: f64) -> String {
     times.sort_unstable();
     let place = ((times.len() as f64 * share).ceil() as usize).clamp(1, times.len().max(1)) - 1;
     times.get(place).map_or("-".to_owned(), u64::to_string)
@@ -53,6 +63,10 @@
         What::Loans(seconds) => loans(&server()?, *seconds),
         What::Cost(pairs, seconds) => cost(&server()?, *pairs, *seconds),
         What::Idle(counts, seconds) => idle(&server()?, counts, *seconds),
+        What::Commits(seconds, clients) => record_measures::commits(&server()?, *seconds, *clients),
+        What::Leaders(times) => record_measures::leaders(&server()?, *times),
+        What::CatchUp(documents) => record_measures::catch_up(&server()?, *documents),
+        What::Store => record_measures::store(),
         What::Starved(servers, shares, seconds) => starved(&server()?, *servers, shares, *seconds),
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod fleet_chart;
 mod fleet_measures;
+mod record_measures;
 mod report;
 mod site;
 
@@ -124,11 +125,24 @@
     let seconds = number("seconds", "How long each", 60);
     let starved = construct!(What::Starved(servers, share, seconds)).to_options();
     let starved = starved.descr("Accusations while one member is starved of its core").command("starved");
+    let (seconds, clients) =
+        (number("seconds", "How long each", 5), number("clients", "How many at once", 8));
+    let clients = clients.map(|n| n.clamp(1, 64) as usize);
+    let commits = construct!(What::Commits(seconds, clients)).to_options().descr("Writes to the record");
+    let commits = commits.command("commits");
+    let times = number("times", "How often each", 5).map(|n| n as usize);
+    let leaders =
+        times.map(What::Leaders).to_options().descr("From a leader's end to another").command("leaders");
+    let documents = number("documents", "Of 1 MB each", 20).map(|n| n.min(31) as usize);
+    let catch_up = documents.map(What::CatchUp).to_options().descr("One that returns from nothing");
+    let catch_up = catch_up.command("catch-up");
+    let store = bpaf::pure(What::Store).to_options().descr("The store by itself").command("store");
     let (pairs, seconds) = (number("pairs", "How many", 5), number("seconds", "How long each", 6));
     let cost =
         construct!(What::Cost(pairs, seconds)).to_options().descr("Processor time of a request, on and off");
     let cost = cost.command("cost");
-    let what = construct!([detection, virtual_time, loans, idle, starved, cost]);
+    let what =
+        construct!([detection, virtual_time, loans, idle, starved, cost, commits, leaders, catch_up, store]);
     let server = server();
     construct!(fleet_measures::Options { server, what })
         .map(Command::Measure)
--- a/crates/operator/src/tests.rs
+++ b/crates/operator/src/tests.rs
@@ -66,6 +66,38 @@
     }
 }
 
+#[test]
+fn a_record_is_read_and_every_mistake_in_it_is_told_at_its_place() {
+    let node = "  record voters=3 election-ms=500 replace-after-s=9 catch-up-kb=100 {\n    folder \"r\" most-mb=4 scrub-s=7\n  }\n}";
+    let text = format!("{}{node}", FLEET.trim_end().trim_end_matches('}'));
+    let operator = parse("f", &text, None).unwrap_or_else(|faults| panic!("{faults}"));
+    let record = operator.fleet.and_then(|fleet| fleet.record).expect("a record");
+    assert_eq!(
+        (record.config.election, record.config.replace_after, record.config.catch_up),
+        (500_000, 9_000_000, 102_400)
+    );
+    assert_eq!((record.most, record.scrub, record.config.others.len()), (4 << 20, 7_000_000, 2));
+    assert_eq!(record.folder, Some("r".into()));
+    let cases = [
+        ("voters=3", "voters=2", "found 2 voters, expected 3 or 5"),
+        ("voters=3", "voters=5", "found 5 voters, expected one for each of 3"),
+        ("voters=3", "voters=9", "found voters=9, expected a whole number from 1 to 5"),
+        ("election-ms=500", "election-ms=20", "found an election of 20 ms, expected 100 to 60000"),
+        ("replace-after-s=9", "replace-after-s=1", "a voter is replaced after three elections at least"),
+        ("catch-up-kb=100", "catch-up-kb=1", "found catch-up-kb=1, expected a whole number from 64"),
+        ("scrub-s=7", "scrub-s=0", "found scrub-s=0, expected a whole number from 1"),
+        ("most-mb=4", "most-gb=4", "found most-gb, expected"),
+        ("folder \"r\"", "folder", "without a path"),
+        ("folder \"r\"", "disk \"r\"", "found \"disk\", expected"),
+        ("folder \"r\"", "folder 7", "found 7, expected a text"),
+    ];
+    for (part, other, wanted) in cases {
+        let found = faults(&text.replacen(part, other, 1));
+        let told = |fault: &String| fault.contains(wanted) && fault.starts_with("f:1");
+        assert!(found.iter().any(told), "{other}: {found:#?}\nwanted {wanted}");
+    }
+}
+
 const SOUND: &str = "dependency \"a\" { endpoints \"127.0.0.1:1\"; }\n";
 
 #[test]
--- a/crates/store/src/simulated.rs
+++ b/crates/store/src/simulated.rs
@@ -72,6 +72,7 @@
     /// Counts power cuts: what was opened before one is gone.
     life: u64,
     written: u64,
+    syncs: u64,
     random: ChaCha8Rng,
 }
 
@@ -112,6 +113,7 @@
             off: false,
             life: 0,
             written: 0,
+            syncs: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         })))
     }
@@ -135,6 +137,11 @@
         self.inner().written
     }
 
+    /// Syncs so far.
+    pub fn syncs(&self) -> u64 {
+        self.inner().syncs
+    }
+
     /// The power goes and comes back: of what was not synced some survives. Faults are over.
     pub fn cut_power(&self) {
         let mut inner = self.inner();
@@ -350,6 +357,7 @@
 
     fn sync(&self) -> io::Result<()> {
         self.with(true, |inner| {
+            inner.syncs += 1;
             if inner.faults.syncs_lie {
                 return Ok(());
             }
