--- a/crates/record/src/record/library.rs
+++ b/crates/record/src/record/library.rs
@@ -108,10 +108,15 @@
         }
     }
 
-    /// Entries have found no room on the disk: a snapshot is asked for in their place, which may be smaller by now.
-    /// Its pieces are not kept then: they would not fit beside what is there.
-    pub fn want_snapshot(&mut self) {
-        (self.wants_snapshot, self.keeps_pieces) = (true, false);
+    /// What came has found no room on the disk: a snapshot of a later entry than this one is asked for in its place, which
+    /// may be smaller. Its pieces are not kept then: they would not fit beside what is there.
+    pub fn want_snapshot(&mut self, after: u64) {
+        (self.wants_snapshot, self.keeps_pieces, self.least) = (true, false, after + 1);
+    }
+
+    /// The last snapshot that was to be installed; 0 is none.
+    pub fn installed(&self) -> u64 {
+        self.installed
     }
 
     /// A leader wants us to take a snapshot: its pieces are fetched first.
@@ -121,6 +126,10 @@
             Some(node) => (message.get_snapshot().get_metadata().index, node.raft.raft_log.committed),
             None => return,
         };
+        if index < self.least {
+            // The one that had no room, once more; the leader sees that we wait for nothing.
+            return;
+        }
         if index <= held {
             self.with(|node| drop(node.step(message)));
             return;
@@ -218,6 +227,7 @@
                     return self.set_aside("a snapshot can't be read".to_owned());
                 };
                 self.state = state;
+                self.installed = meta.index;
                 self.compared.clear();
                 batch =
                     batch.then(self.with(|node| node.mut_store().install(meta, bytes)).unwrap_or_default());
--- a/crates/record/src/record/mod.rs
+++ b/crates/record/src/record/mod.rs
@@ -189,6 +189,9 @@
     ended: bool,
     wants_snapshot: bool,
     keeps_pieces: bool,
+    /// Snapshots of earlier entries than this one are not taken.
+    least: u64,
+    installed: u64,
     outcomes: VecDeque<(EntryId, Outcome)>,
     actions: VecDeque<Action>,
     told: VecDeque<Told>,
@@ -253,6 +256,8 @@
             ended: false,
             wants_snapshot: false,
             keeps_pieces: true,
+            least: 0,
+            installed: 0,
             outcomes: VecDeque::new(),
             actions: VecDeque::new(),
             told: VecDeque::new(),
--- a/crates/server/src/peers/fleet/record.rs
+++ b/crates/server/src/peers/fleet/record.rs
@@ -69,8 +69,8 @@
     opened_at: Micros,
     /// The copy on the disk is not to be used.
     fresh: bool,
-    /// What was to be written found no room under the bound.
-    full: bool,
+    /// What was to be written found no room under the bound: the snapshot that it was, if it was one.
+    full: Option<u64>,
     reach_at: Micros,
     scrub_at: Micros,
     seed: u64,
@@ -91,7 +91,7 @@
             back_off: BACK_OFF.0,
             opened_at: now,
             fresh: false,
-            full: false,
+            full: None,
             reach_at: now,
             scrub_at: now + settings.scrub,
             seed,
@@ -136,8 +136,8 @@
         self.seed = self.seed.wrapping_add(1);
         match Record::new(now, self.settings.config.clone(), image, self.seed) {
             Ok(mut record) => {
-                if std::mem::take(&mut self.full) {
-                    record.want_snapshot();
+                if let Some(after) = self.full {
+                    record.want_snapshot(after);
                 }
                 self.record = Some(record);
             }
@@ -169,6 +169,10 @@
         match done {
             Done::Opened(_) => {}
             Done::Durable(number, _) => {
+                if self.record.as_ref().is_some_and(|record| record.installed() > 0) {
+                    // A snapshot has found room.
+                    self.full = None;
+                }
                 if let Some(record) = &mut self.record {
                     record.persisted(now, number);
                 }
@@ -206,7 +210,10 @@
         }
         let again = self.back_off / 1_000;
         warn!(self.log, "record: its disk can't be used"; "why" => %why, "again_in_ms" => again);
-        self.full |= matches!(why, Trouble::Full { .. });
+        if matches!(why, Trouble::Full { .. }) {
+            let tried = self.record.as_ref().map_or(0, Record::installed);
+            self.full = Some(tried.max(self.full.unwrap_or(0)));
+        }
         // A thread that found damage while it wrote has said so; the next one sets it aside.
         self.retry(now);
     }
