A decision at a server that was only cut off undoes nothing; a learner stops believing in a silent leader

Read again before landing: adopt at a cut-off server made the majority's copies leave a record that goes on. Now a record that is led yields to nobody; it tells that another one is led beside it. Freezing holds until all copies are the same again. A server that joins takes the record that most hold. Found by the test: one that learns believes in its leader for ever, as the library runs no election for it, so that its standing named a leader long gone.

--- a/crates/record/src/record/membership.rs
+++ b/crates/record/src/record/membership.rs
@@ -1,5 +1,7 @@
 //! Who is in the record: how this server comes in, what it says of itself, and what it sees to while it leads.
 
+use std::collections::BTreeMap;
+
 use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2};
 use raft::SnapshotStatus;
 use rand::Rng;
@@ -112,8 +114,12 @@
     /// Without a copy: one of a record that others have; or, if nobody of the whole roster has one, a new record.
     pub(super) fn join_or_found(&mut self, now: Micros, fresh: Micros) {
         let live = |other: &&Other| now < other.heard + fresh;
-        let known = self.others.values().filter(live).find(|o| o.status.record != 0);
-        if let Some(record) = known.map(|other| other.status.record) {
+        // Two records are led only where an operator decided twice: the one that more servers hold is joined.
+        let mut held: BTreeMap<u64, usize> = BTreeMap::new();
+        for other in self.others.values().filter(live).filter(|o| o.status.record != 0) {
+            *held.entry(other.status.record).or_default() += 1;
+        }
+        if let Some((record, _)) = held.into_iter().max_by_key(|(_, servers)| *servers) {
             let id = self.random.next_u64().max(1);
             self.copy = Copy { record, id, name: self.config.me.to_string(), starts: 1 };
             let batch = copy_batch(&self.copy);
@@ -154,16 +160,26 @@
                 self.send(&leader, word, Class::Entry);
             }
         }
-        // Another record is led, and ours has no leader for long, or an operator has decided for that one: ours is old.
         let led = |other: &&Other| {
             let record = other.status.record;
             live(other) && record != 0 && record != self.copy.record && other.status.leader.is_some()
         };
         let lone = self.leader.0.is_none() && now >= self.leader.1 + 5 * self.config.election;
-        let found = self.others.values().filter(led).find(|o| lone || o.status.from == self.copy.record);
-        if let Some(record) = found.map(|other| other.status.record) {
+        let decided = |other: &&Other| self.frozen && other.status.from == self.copy.record;
+        let Some(other) = self.others.values().filter(led).max_by_key(|o| decided(o)) else {
+            self.another = 0;
+            return;
+        };
+        let record = other.status.record;
+        // Ours has no leader for long, or can't go on and an operator has decided for that one: it is the old one. One that
+        // is led and goes on yields to nobody: an operator who decided at a server that was only cut off must not undo
+        // what a majority agrees on.
+        if lone || decided(&other) {
             self.tell(Told::Foreign(self.copy.record, record));
             self.set_aside(format!("another record ({record:016x}) is led, this one is not"));
+        } else if record != self.another {
+            self.another = record;
+            self.tell(Told::Another(self.copy.record, record));
         }
     }
 
@@ -199,6 +215,8 @@
     /// Compares copies by what their servers say. What is found must still hold once everyone has said it anew: a word from
     /// before the others went wrong too must not cost the last copy that is right.
     pub(super) fn compare(&mut self, now: Micros, fresh: Micros) {
+        // Copies that are no more need no comparing; servers without disks draw a new number at each start.
+        self.compared.retain(|copy, _| self.state.members.contains_key(copy));
         let Some(node) = &self.node else { return };
         let voters = &node.store().conf().voters;
         let live = |id: &u64| self.others.values().find(|o| o.status.copy == *id && now < o.heard + fresh);
@@ -225,7 +243,9 @@
         if verdict != compare::Verdict::Fine && !anew {
             return;
         }
-        let frozen = verdict == compare::Verdict::NobodyKnows;
+        // Until all are the same again: one that leaves decides nothing for those that stay.
+        let apart = others.iter().any(|other| other.same != Some(true));
+        let frozen = verdict == compare::Verdict::NobodyKnows || (self.frozen && apart);
         if frozen && !self.frozen {
             self.tell(Told::Frozen);
         }
--- a/crates/record/src/record/mod.rs
+++ b/crates/record/src/record/mod.rs
@@ -178,6 +178,8 @@
     /// What comparing has come to, and since when.
     found: (Found, Micros),
     frozen: bool,
+    /// The other record that was told of last.
+    another: u64,
     role: Role,
     leader: (Option<String>, Micros),
     leads_since: Micros,
@@ -246,6 +248,7 @@
             differing: Vec::new(),
             found: (Found::Fine, now),
             frozen: false,
+            another: 0,
             role: Role::Outside,
             leader: (None, now),
             leads_since: now,
@@ -419,8 +422,10 @@
                     _ if self.state.members.contains_key(&self.copy.id) => Role::Learner,
                     _ => Role::Outside,
                 };
-                let leader = node.raft.leader_id;
-                (role, self.state.members.get(&leader).map(|member| member.name.clone()))
+                // The library lets one that learns believe in its leader for ever.
+                let heard = role == Role::Leader || now < self.leader.1 + 2 * self.config.election;
+                let leader = self.state.members.get(&node.raft.leader_id).filter(|_| heard);
+                (role, leader.map(|member| member.name.clone()))
             }
         };
         if role != self.role {
--- a/crates/record/src/record/told.rs
+++ b/crates/record/src/record/told.rs
@@ -56,6 +56,8 @@
     Frozen,
     /// This copy is of another record than the one that is led now.
     Foreign(u64, u64),
+    /// Another record is led beside ours, which goes on: an operator decided for a copy that was only cut off.
+    Another(u64, u64),
     /// The library could not go on with this copy.
     Broken(String),
     /// A snapshot has come: its index, bytes, and how long that took.
--- a/crates/record/src/witness.rs
+++ b/crates/record/src/witness.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use umberloom_membership::Name;
 
-/// Copies that are remembered; the lowest number goes first beyond that, which is none in particular.
+/// Copies that are remembered; beyond that the one with the lowest number goes, which is none in particular.
 const MOST: usize = 4_096;
 
 /// How far a copy was.
@@ -50,9 +50,12 @@
 impl Memory {
     /// A copy says how far it is.
     pub fn note(&mut self, copy: u64, seen: Seen) {
-        if copy == 0 || (self.0.len() >= MOST && !self.0.contains_key(&copy)) {
+        if copy == 0 {
             return;
         }
+        if self.0.len() >= MOST && !self.0.contains_key(&copy) {
+            self.0.pop_first();
+        }
         let known = self.0.entry(copy).or_default();
         *known = known.further(seen);
     }
--- a/crates/record/tests/virtual_records.rs
+++ b/crates/record/tests/virtual_records.rs
@@ -306,6 +306,37 @@
     assert_eq!(fleet.record(0).and_then(|r| r.state().get("x")).map(|held| held.version), Some(2));
 }
 
+#[test]
+fn a_decision_at_a_server_that_was_only_cut_off_undoes_nothing() {
+    let mut fleet = settled(5, 3, 21, quick);
+    fleet.write(0, "x", None);
+    fleet.run(fleet.now + SECOND).expect("sound");
+    let first = fleet.record(0).map(|r| r.numbers().1);
+    let cut = 4;
+    fleet.cut.extend((0..4).flat_map(|n| [(n, cut), (cut, n)]));
+    fleet
+        .until(20 * SECOND, |f| f.record(cut).is_some_and(|r| r.standing(f.now).leader.is_none()))
+        .expect("cut off");
+    fleet.run(fleet.now + 2 * SECOND).expect("sound");
+    fleet.adopt(cut).expect("it can't know better");
+    fleet.write(0, "x", None);
+    fleet.run(fleet.now + SECOND).expect("sound");
+    fleet.cut.clear();
+    fleet.run(fleet.now + 5 * SECOND).expect("sound");
+    assert!(
+        (0..4).all(|n| fleet.record(n).map(|r| r.numbers().1) == first),
+        "the majority has left its record"
+    );
+    assert!(fleet.aside.is_empty(), "{:?}", fleet.aside);
+    assert!(fleet.told.iter().any(|(_, n, t)| *n < 4 && matches!(t, Told::Another(..))));
+    // Without its copy it joins the one that most hold.
+    fleet.lose_disk(cut);
+    fleet.start(cut);
+    fleet.until(20 * SECOND, |f| f.settled(3)).expect("settled");
+    assert_eq!(fleet.record(cut).map(|r| r.numbers().1), first);
+    assert_eq!(fleet.record(cut).and_then(|r| r.state().get("x")).map(|held| held.version), Some(2));
+}
+
 #[test]
 fn one_that_is_far_behind_catches_up_and_is_killed_on_the_way() {
     fn slow(config: &mut Config) {
--- a/crates/server/src/peers/fleet/record.rs
+++ b/crates/server/src/peers/fleet/record.rs
@@ -341,6 +341,10 @@
                 error!(log, "record: ours is an old one";
                     "ours" => format!("{ours:016x}"), "led" => format!("{led:016x}"));
             }
+            Told::Another(ours, led) => {
+                error!(log, "record: another one is led beside ours";
+                    "ours" => format!("{ours:016x}"), "led" => format!("{led:016x}"));
+            }
             Told::Broken(why) => error!(log, "record: its log can't go on"; "why" => why),
             Told::CaughtUp(index, bytes, took) => {
                 info!(log, "record caught up"; "entry" => index, "bytes" => bytes, "ms" => took / 1_000);
