The rig's servers listen below the ports that the system gives to connections

A free port was asked of the system and let go, and a relay's connection from the same host could take it before the server did. Ports are now from 10,080 and 12,080 of each server's own host.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -26,8 +26,12 @@
     Ipv4Addr::new(127, 20 + (number % 75) as u8, high ^ (more << 6) ^ (number / 75) as u8, low.max(1))
 }
 
-fn free_address(host: Ipv4Addr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((host, 0))?.local_addr()
+/// Below the ports that the system gives to connections: relays connect from this host, and one of them could take a port
+/// that was free a moment ago.
+fn free_address(host: Ipv4Addr, from: u16) -> std::io::Result<SocketAddr> {
+    let free = |port: &u16| TcpListener::bind((host, *port)).is_ok();
+    let port = (from..from + 500).find(free).ok_or(std::io::ErrorKind::AddrInUse)?;
+    Ok(SocketAddr::from((host, port)))
 }
 
 /// One server: its place stays, its process comes and goes.
@@ -70,8 +74,8 @@
         Ok(Server {
             name: name.to_owned(),
             host,
-            listen: free_address(host)?,
-            fleet: free_address(host)?,
+            listen: free_address(host, 10_080)?,
+            fleet: free_address(host, 12_080)?,
             farm: Farm::start(work),
             records: Dependency::start(Behaviour::quick(b"booked")),
             _announce: Announce::start(),
