--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -14,7 +14,8 @@
 //! There is no socket, file or clock here: [`Record`] takes what has come with its time, and gives [`Action`]s. What it
 //! promises always: no two states at one index but by damage, which is found; an entry that was told to be done is in the
 //! state of a majority of disks; an entry written twice is applied once. What it promises while a majority of the voters
-//! reach each other within two hops and their disks write: a leader within two election times.
+//! reach each other within two hops and their disks write: a leader within four and a half election times (two until
+//! someone asks for votes, and as much again where votes split).
 
 pub mod compare;
 pub mod entry;
