Requests carry what other customers' do: Once-Key, Account, hints, marks, a free value

At fault: wire/cgi.rs asked for Idempotency-Key and Attempt; lifecycle/config.rs refused tenants and a free value; settings/shape.rs refused mixes of stated waits, reports and stops; settings/lib.rs refused a write that may be repeated. Read on the way: two keyed tries of one step were both taken for the first (module.rs arrived, entry made only by Keep); a first try whose window ended while it ran was no longer known; a repeat counted by when it was read, not when it reached the machine; keys of two tenants were one. Change: those fields are read, the value goes out as Server-Hint, names of realms are matched; settings stand each by itself. Test blocks of touched files moved out.

--- a/crates/server/src/exchange/caller.rs
+++ b/crates/server/src/exchange/caller.rs
@@ -1,6 +1,7 @@
 //! Those who ask: their requests, the answers, and what their connections are told.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
 use async_channel::Sender;
 use umberloom::interface::{Micros, RequestId};
@@ -18,12 +19,16 @@
     pub id: String,
     /// Name of its class.
     pub class: String,
+    /// Name of its tenant, if it names one.
+    pub tenant: Option<String>,
+    /// The work that its caller expects it to be, if it says so.
+    pub cost: Option<Micros>,
     /// When it reached the machine, in Unix microseconds.
     pub received: Micros,
     /// How long its caller waits from then on, if it says so.
     pub budget: Option<Micros>,
-    /// Which try of its request it is, 1 for the first.
-    pub attempt: u32,
+    /// It is marked as a further try of its request.
+    pub again: bool,
     /// Number of the balancer.
     pub sender: u64,
     /// Memory while held, in kilobytes.
@@ -32,7 +37,7 @@
     pub rank: f64,
     /// What a read is about.
     pub key: Option<String>,
-    /// The caller's `Idempotency-Key`: tries of one keyed request carry the same.
+    /// The idempotency key (`Once-Key`): tries of one keyed request carry the same.
     pub idempotency_key: Option<String>,
 }
 
@@ -70,6 +75,9 @@
     Aborted,
 }
 
+/// The free value that goes with every answer, once the module has set one.
+pub type Hint = Rc<Cell<Option<f64>>>;
+
 /// A request that has come whole and makes sense.
 #[derive(Debug)]
 pub struct Request {
@@ -77,6 +85,8 @@
     pub id: RequestId,
     /// Place of its class in the settings.
     pub class: usize,
+    /// Place of its tenant in the settings, 0 where there are none.
+    pub tenant: usize,
     /// What it asks for.
     pub work: Work,
     /// Its body.
--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -4,13 +4,13 @@
 use std::path::Path;
 
 use serde_json::Value;
-use umberloom::interface::{Below, Effect, Settings, Signal};
+use umberloom::interface::{Below, Effect, Settings};
 
 use super::keys_known;
 use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
 use umberloom_settings::shape::Shape;
-use umberloom_settings::{class_names, locate, settings, GaugeNames};
+use umberloom_settings::{class_names, locate, settings, tenant_names, GaugeNames};
 
 /// What the process may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,6 +46,8 @@
     pub shape: Shape,
     /// Names of the classes, in their order.
     pub classes: Vec<String>,
+    /// Names of the tenants, in their order; may be empty.
+    pub tenants: Vec<String>,
     /// Names of the gauges, in their order.
     pub gauges: GaugeNames,
     /// What is to be told about the file without refusing it: keys that it is not known to hold, by line.
@@ -89,9 +91,10 @@
             records: if top.contains_key("records") { Some(address(&top, "records")?) } else { None },
             stop: whole(&top, "stop_ms")?.saturating_mul(1_000),
             limits: limits(&top)?,
-            shape: Shape::read(options, set.halt)?,
+            shape: Shape::read(options)?,
             settings: set,
             classes: class_names(options)?,
+            tenants: tenant_names(options)?,
             gauges: GaugeNames::read(options)?,
             warnings: Vec::new(),
         };
@@ -114,8 +117,7 @@
                 "field `family_info.key_kb`: with a keyed class, keys must weigh enough that the memory holds \
                  fewer than the table of kept keys",
             ),
-            (set.tenants.is_empty(), "there are tenants, whom FastCGI requests do not name here"),
-            (set.signal == Signal::Silent, "callers want a free value, for which answers have no field here"),
+            (self.tenants.iter().all(|name| !name.is_empty()), "a tenant has no name"),
             (set.below != Below::NextTier, "there is a next tier, to which no address is configured"),
             (
                 set.below == Below::Nothing || self.records.is_some(),
@@ -146,6 +148,7 @@
                 self.settings == settings
                     && self.shape == new.shape
                     && self.classes == new.classes
+                    && self.tenants == new.tenants
                     && self.gauges == new.gauges,
                 "settings",
             ),
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -25,6 +25,7 @@
 use umberloom_intake::places::Places;
 use umberloom_operator::{Known, Operator};
 
+use crate::exchange::caller::Hint;
 use crate::exchange::calls::Wanted;
 use crate::exchange::{
     agent as to_agent, calls as to_calls, fleet as to_fleet, front as to_front, list as to_list, Message,
@@ -207,6 +208,7 @@
             list: list.clone(),
             front: front.clone(),
             up: up_told,
+            hint: Hint::default(),
         };
         executor.spawn(Agent::new(config.agent, agent_orders, module.clone(), log.clone()).run()).detach();
         executor.spawn(List::new(config.announce, &config.name, list_words, log.clone()).run()).detach();
@@ -220,6 +222,8 @@
         let shared = Shared {
             module: module.clone(),
             classes: Rc::new(config.classes.clone()),
+            tenants: Rc::new(config.tenants.clone()),
+            hint: others.hint.clone(),
             shape: config.shape,
             connections: parts.connections,
             serial: Rc::default(),
--- /dev/null
+++ b/crates/server/src/memory/keys/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+/// The kept request of this subject whose window is not over.
+fn find(keys: &Keys, subject: &Subject, now: Micros) -> Option<RequestId> {
+    keys.holder(subject).filter(|(_, until)| *until > now).map(|(id, _)| id)
+}
+
+fn about(key: &str) -> Subject {
+    (0, key.to_owned())
+}
+
+#[test]
+fn a_kept_request_is_found_until_its_time_is_up() {
+    let mut keys = Keys::default();
+    keys.keep(0, about("k"), "a".into(), 100);
+    assert_eq!(find(&keys, &about("k"), 99).as_deref(), Some("a"));
+    assert_eq!(find(&keys, &about("k"), 100), None);
+    assert_eq!(find(&keys, &(1, "k".to_owned()), 0), None);
+    keys.add_result(&about("k"), "a", b"result");
+    assert_eq!(keys.result("a"), Some(&b"result"[..]));
+    keys.expire(100, |_| false);
+    assert_eq!((keys.result("a"), keys.bytes, keys.order.len()), (None, 0, 0));
+}
+
+#[test]
+fn a_newer_request_takes_the_entry_over() {
+    let mut keys = Keys::default();
+    keys.keep(0, about("k"), "a".into(), 100);
+    keys.keep(0, about("k"), "b".into(), 50);
+    keys.forget(&about("k"), "a");
+    assert_eq!(find(&keys, &about("k"), 0).as_deref(), Some("b"));
+    keys.keep(0, about("k"), "b".into(), 200);
+    assert_eq!(find(&keys, &about("k"), 150).as_deref(), Some("b"));
+    keys.forget(&about("k"), "b");
+    assert_eq!(find(&keys, &about("k"), 0), None);
+}
+
+#[test]
+fn entries_and_results_are_bounded() {
+    let mut keys = Keys::default();
+    for n in 0..ENTRIES + 10 {
+        keys.keep(0, about(&n.to_string()), n.to_string().into(), 100);
+        keys.add_result(&about(&n.to_string()), &n.to_string(), &[0; 4096]);
+    }
+    assert!(keys.all.len() <= ENTRIES && keys.bytes <= BYTES);
+    assert_eq!(find(&keys, &about("0"), 0), None);
+    assert!(find(&keys, &about(&(ENTRIES + 9).to_string()), 0).is_some());
+}
+
+/// Guards against a keyed write that runs twice: results too large for the table took their entries with
+/// them, and a repeat then found nothing and ran anew.
+#[test]
+fn too_many_bytes_drop_results_but_keep_their_entries() {
+    let mut keys = Keys::default();
+    for n in 0..3 {
+        keys.keep(0, about(&n.to_string()), n.to_string().into(), 100);
+        keys.add_result(&about(&n.to_string()), &n.to_string(), &vec![0; BYTES / 2]);
+    }
+    assert!(keys.bytes <= BYTES, "{}", keys.bytes);
+    assert_eq!(keys.result("0"), None, "the oldest result went");
+    assert_eq!(find(&keys, &about("0"), 0).as_deref(), Some("0"), "its entry stays");
+    assert_eq!(keys.result("2").map(<[u8]>::len), Some(BYTES / 2));
+}
+
+/// Guards against a live entry pushed out while entries that have run out still take places.
+#[test]
+fn a_full_table_drops_what_ran_out_before_what_lives() {
+    let mut keys = Keys::default();
+    keys.keep(0, about("live"), "live".into(), 1_000);
+    for n in 1..ENTRIES {
+        keys.keep(0, about(&n.to_string()), n.to_string().into(), 10);
+    }
+    keys.keep(20, about("new"), "new".into(), 1_000);
+    assert_eq!(find(&keys, &about("live"), 20).as_deref(), Some("live"));
+    assert_eq!(find(&keys, &about("new"), 20).as_deref(), Some("new"));
+    assert_eq!(keys.all.len(), 2);
+}
--- a/crates/server/src/memory/open.rs
+++ b/crates/server/src/memory/open.rs
@@ -99,6 +99,11 @@
         self.all.get_mut(id).map(Box::as_mut)
     }
 
+    /// Whether a request of this name is open.
+    pub fn has(&self, id: &str) -> bool {
+        self.all.contains_key(id)
+    }
+
     /// Forgets a request.
     pub fn remove(&mut self, id: &str) {
         let Some(open) = self.all.remove(id) else { return };
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -16,7 +16,7 @@
 use umberloom_settings::GaugeNames;
 
 use crate::exchange::agent::{self, Order};
-use crate::exchange::caller::{Answer, Check, ReplyTo, Request};
+use crate::exchange::caller::{Answer, Check, Hint, ReplyTo, Request};
 use crate::exchange::calls::{self, CallId};
 use crate::exchange::{fleet, front, list, Message, RunEnd};
 use crate::lifecycle::clock::Clock;
@@ -47,6 +47,8 @@
     pub front: Sender<front::Order>,
     /// Told once the agent is up.
     pub up: Sender<()>,
+    /// The free value, for all connections.
+    pub hint: Hint,
     /// The fleet, if this server knows one.
     pub fleet: Option<Sender<fleet::Order>>,
 }
@@ -184,7 +186,10 @@
         if self.wake_at.is_some_and(|at| now >= at) {
             self.wake_at = None;
             self.tell_front();
-            self.keys.expire(now);
+            // A repeat that reached the machine in time may be read later, and is known while the first is open.
+            let late = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            let open = &self.open;
+            self.keys.expire(now.saturating_sub(late), |id| open.has(id));
             self.tag += 1;
             self.sample = Some((self.tag, now + GAUGE_WAIT));
             self.order(Order::Sample(self.tag));
@@ -266,16 +271,18 @@
     }
 
     fn arrived(&mut self, now: Micros, request: Request) {
-        let Request { id, class, mut work, body, reply_to, charge } = request;
+        let Request { id, class, tenant, mut work, body, reply_to, charge } = request;
         if self.server.is_none() {
             // Nothing can run before the agent is up.
             return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
         }
-        // Tries of a keyed request are linked by the caller's Idempotency-Key alone; one without it could
-        // run twice, so it is refused as malformed before anything is done.
-        if self.settings.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed) {
+        // Tries of a keyed request are linked by the caller's idempotency key alone; one without it could
+        // run twice, so it is refused as malformed before anything is done. Keys of two tenants that happen to be
+        // alike are two keys: none may get the other's answer.
+        let keyed = self.settings.classes.get(class).filter(|c| c.effect == Effect::Keyed);
+        if keyed.is_some() {
             let Some(key) = work.idempotency_key.take() else { return reply_to.answer(Answer::Senseless) };
-            work.key = Some(key);
+            work.key = Some(if self.settings.tenants.is_empty() { key } else { format!("{tenant}/{key}") });
         }
         let unix = self.clock.unix();
         // Where requests state no wait, what one says of it all the same is not part of the agreement.
@@ -285,20 +292,29 @@
         let limit = self.settings.classes.get(class).map_or(0, |c| c.deadline);
         let left = waits.unwrap_or(limit.saturating_sub(queued));
         let subject = work.key.clone().map(|key| (class, key));
-        let repeats = subject.and_then(|subject| self.keys.find(&subject, now));
+        // What counts is when a repeat reached the machine, however late it is read; and while the first try is
+        // open no other may run, though its window be over.
+        let reached = now.saturating_sub(queued);
+        let kept = subject.as_ref().and_then(|subject| self.keys.holder(subject));
+        let lives = |(id, until): &(RequestId, Micros)| *until > reached || self.open.has(id);
+        let repeats = kept.filter(lives).map(|(id, _)| id);
+        // Two tries may be read before the module's word on the first: from its arrival on it holds the key.
+        if let (Some(class), Some(subject), None) = (keyed, subject, &repeats) {
+            self.keys.keep(now, subject, id.clone(), now + class.window);
+        }
         let arrival = Arrival {
             id: id.clone(),
             class,
-            tenant: 0,
+            tenant,
             caller: work.sender,
             // Time in socket buffers counts: the caller's wait began when the request reached the machine.
             waits,
             queued,
             held_kb: work.held_kb,
             rank: work.rank,
-            cost: None,
+            cost: work.cost,
             repeats,
-            retry: self.shape.marks_retry && work.attempt > 1,
+            retry: self.shape.marks_retry && work.again,
         };
         let open = Open {
             id,
@@ -450,6 +466,9 @@
     /// been carried out; the run they are about goes on, and ends by itself or when it is due.
     fn agent_refused(&mut self, command: &str, id: &str) {
         if command == "launch" {
+            if let Some(open) = self.open.get(id) {
+                open.ran = false;
+            }
             self.end_unheard(id, Outcome::Moot);
         }
     }
@@ -512,6 +531,10 @@
     /// Forgets a request of which nothing is left. Who still waits for its result does so in vain.
     fn sweep(&mut self, id: &str) {
         if self.open.get(id).is_some_and(|o| o.reply_to.is_none() && o.run != Run::Going) {
+            // What never ran keeps nobody from running.
+            if self.open.get(id).is_some_and(|open| !open.ran) {
+                self.forget(&RequestId::from(id));
+            }
             self.open.remove(id);
             for joined in self.open.joined_to(id) {
                 self.end_joined(&joined, None);
@@ -573,7 +596,7 @@
                 self.ready = Some(word);
                 self.tell_list(word);
             }
-            Action::Signal(value) => debug!(self.log, "a value without a field"; "value" => value),
+            Action::Signal(value) => self.others.hint.set(Some(value)),
             Action::CloseIdle(span) => {
                 self.idle = Some(span);
                 self.tell_front();
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -14,7 +14,7 @@
 use umberloom_settings::shape::Shape;
 
 use super::stream::{self, Got};
-use crate::exchange::caller::{Activity, Answer, Check, ReplyTo, Request, Word, Work};
+use crate::exchange::caller::{Activity, Answer, Check, Hint, ReplyTo, Request, Word, Work};
 use crate::exchange::Message;
 use crate::lifecycle::clock::Clock;
 use crate::memory::budget::{Budget, Charge};
@@ -53,6 +53,10 @@
     pub module: Sender<Message>,
     /// Names of the classes, in their order.
     pub classes: Rc<Vec<String>>,
+    /// Names of the tenants, in their order; may be empty.
+    pub tenants: Rc<Vec<String>>,
+    /// The free value that goes with every answer.
+    pub hint: Hint,
     /// What requests say of themselves here.
     pub shape: Shape,
     /// Most connections at once.
@@ -85,8 +89,8 @@
 enum Meant {
     /// Whether this server is well.
     Check(bool),
-    /// Work, of the class at this place.
-    Work(Work, usize),
+    /// Work, of the class and the tenant at these places.
+    Work(Work, usize, usize),
 }
 
 /// The actor of one connection.
@@ -352,7 +356,7 @@
             self.pending.remove(&slot);
             match answer {
                 Answer::Aborted => self.responder.end_aborted(slot),
-                answer => self.responder.answer(slot, &cgi::encode(answer)),
+                answer => self.responder.answer(slot, &cgi::encode(answer, self.shared.hint.get())),
             }
         }
     }
@@ -413,9 +417,9 @@
             return None;
         }
         let reply_to = ReplyTo::new(self.me.clone(), slot, serial);
-        let (work, class) = match self.understand(params, too_long) {
+        let (work, class, tenant) = match self.understand(params, too_long) {
             Ok(Meant::Check(full)) => return Some(Message::Check(Check { full, reply_to })),
-            Ok(Meant::Work(work, class)) => (work, class),
+            Ok(Meant::Work(work, class, tenant)) => (work, class, tenant),
             Err(why) => {
                 debug!(self.shared.log, "a request without sense"; "why" => why);
                 self.answer(slot, serial, &Answer::Senseless);
@@ -429,7 +433,7 @@
         };
         let id: RequestId = work.id.as_str().into();
         self.pending.insert(slot, Pending { serial, id: Some(id.clone()) });
-        Some(Message::Request(Box::new(Request { id, class, work, body, reply_to, charge })))
+        Some(Message::Request(Box::new(Request { id, class, tenant, work, body, reply_to, charge })))
     }
 
     fn understand(&self, params: &[u8], too_long: bool) -> Result<Meant, &'static str> {
@@ -445,7 +449,15 @@
             return Err("no budget");
         }
         let class = self.shared.classes.iter().position(|name| *name == work.class);
-        class.map(|class| Meant::Work(work, class)).ok_or("no known class")
+        let class = class.ok_or("no known class")?;
+        // Where there are tenants each request is one's: whose it is decides what it may have.
+        let known = |name: &String| self.shared.tenants.iter().position(|tenant| tenant == name);
+        let tenant = match work.tenant.as_ref().filter(|_| !self.shared.tenants.is_empty()) {
+            Some(name) => known(name).ok_or("no known tenant")?,
+            None if self.shared.tenants.is_empty() => 0,
+            None => return Err("no tenant"),
+        };
+        Ok(Meant::Work(work, class, tenant))
     }
 
     /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
--- a/crates/server/src/peers/front/tests.rs
+++ b/crates/server/src/peers/front/tests.rs
@@ -72,6 +72,8 @@
     let shared = Shared {
         module,
         classes: Rc::new(vec![]),
+        tenants: Rc::new(vec![]),
+        hint: Rc::default(),
         shape: Shape { passes_deadline: true, marks_retry: false },
         connections: places.table(),
         serial: Rc::default(),
--- /dev/null
+++ b/crates/server/src/wire/cgi/tests.rs
@@ -0,0 +1,144 @@
+use super::*;
+use crate::exchange::caller::FAR;
+use crate::wire::noise;
+
+fn params(change: impl Fn(&str) -> Option<&'static str>) -> Vec<u8> {
+    let all = [
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", "/svc/desk-search"),
+        ("HTTP_REQUEST_ID", "9b1f03aa5c7e2d41"),
+        ("HTTP_RECEIVED_AT", "1764576000123"),
+        ("HTTP_SENT_BY", "4"),
+        ("HTTP_BUDGET_MS", "480"),
+        ("HTTP_FOOTPRINT_KB", "24.5"),
+        ("HTTP_PRIORITY_RANK", "0.6250"),
+        ("HTTP_RESOURCE_KEY", "7f3a9c21e0b4d655"),
+    ];
+    let mut bytes = Vec::new();
+    for (name, value) in all {
+        fastcgi::write_pair(&mut bytes, name.as_bytes(), change(name).unwrap_or(value).as_bytes());
+    }
+    bytes
+}
+
+/// The usual parameters, and these.
+fn params_and(more: &[(&str, &str)]) -> Vec<u8> {
+    let mut bytes = params(|_| None);
+    more.iter().for_each(|(name, value)| fastcgi::write_pair(&mut bytes, name.as_bytes(), value.as_bytes()));
+    bytes
+}
+
+#[test]
+fn every_field_is_read() {
+    let Ok(Ask::Work(work)) = ask(&params(|_| None)) else { panic!("work") };
+    assert_eq!((work.id.as_str(), work.class.as_str()), ("9b1f03aa5c7e2d41", "desk-search"));
+    assert_eq!((work.received, work.budget, work.sender), (1_764_576_000_123_000, Some(480_000), 4));
+    assert_eq!((work.held_kb, work.rank), (24.5, 0.625));
+    assert_eq!(work.key.as_deref(), Some("7f3a9c21e0b4d655"));
+    assert_eq!(work.idempotency_key, None, "absent unless sent");
+    assert_eq!((work.tenant, work.cost, work.again), (None, None, false), "absent unless sent");
+}
+
+/// Guards against a keyed class of which nothing is served, and tenants that nobody tells apart: callers name these
+/// fields as the platform does.
+#[test]
+fn what_other_customers_send_is_read() {
+    let read = |more: &[(&str, &str)]| match ask(&params_and(more)) {
+        Ok(Ask::Work(work)) => work,
+        other => panic!("{more:?}: {other:?}"),
+    };
+    let work =
+        read(&[("HTTP_ACCOUNT", "south"), ("HTTP_ATTEMPT_AGAIN", "1"), ("HTTP_WORK_ESTIMATE", "163.18")]);
+    assert_eq!((work.tenant.as_deref(), work.cost, work.again), (Some("south"), Some(163_180), true));
+    for name in ["HTTP_ONCE_KEY", "HTTP_IDEMPOTENCY_KEY"] {
+        assert_eq!(read(&[(name, "tally-77-3")]).idempotency_key.as_deref(), Some("tally-77-3"));
+        assert_eq!(read(&[(name, "")]).idempotency_key, None);
+        assert_eq!(read(&[(name, &"k".repeat(KEY + 1))]).idempotency_key, None);
+    }
+    let both = |one, other| ask(&params_and(&[("HTTP_ONCE_KEY", one), ("HTTP_IDEMPOTENCY_KEY", other)]));
+    assert!(both("k", "k").is_ok());
+    assert_eq!(both("k", "l"), Err("two idempotency keys"));
+    assert!(!read(&[("HTTP_ATTEMPT_AGAIN", "0")]).again && read(&[("HTTP_ATTEMPT", "2")]).again);
+    assert_eq!(ask(&params_and(&[("HTTP_ATTEMPT_AGAIN", "maybe")])), Err("no mark of a further try"));
+    for senseless in ["", "-3", "NaN", "inf", "1e12", "0.0000001"] {
+        assert_eq!(read(&[("HTTP_WORK_ESTIMATE", senseless)]).cost, None, "{senseless}");
+    }
+}
+
+#[test]
+fn a_missing_or_senseless_field_is_named() {
+    let bad = [
+        ("HTTP_REQUEST_ID", "", "no id"),
+        ("HTTP_RECEIVED_AT", "soon", "no time of arrival"),
+        ("HTTP_RECEIVED_AT", "18446744073709551615", "no time of arrival"),
+        ("HTTP_BUDGET_MS", "-1", "no budget"),
+        ("HTTP_SENT_BY", "x", "no sender"),
+        ("HTTP_FOOTPRINT_KB", "NaN", "no footprint"),
+        ("HTTP_FOOTPRINT_KB", "0", "no footprint"),
+        ("HTTP_FOOTPRINT_KB", "2000", "no footprint"),
+        ("HTTP_PRIORITY_RANK", "1", "no rank"),
+        ("REQUEST_METHOD", "GET", "not a POST"),
+        ("SCRIPT_NAME", "/else", "an unknown path"),
+    ];
+    for (field, value, why) in bad {
+        assert_eq!(ask(&params(|name| (name == field).then_some(value))), Err(why), "{field}");
+    }
+    assert_eq!(ask(&[]), Err("no path"));
+    assert!(ask(&[9, 9]).is_err());
+}
+
+#[test]
+fn times_far_off_make_no_sense() {
+    let Ok(Ask::Work(work)) = ask(&params(|_| None)) else { panic!("work") };
+    assert!(work.is_timely(work.received) && work.is_timely(work.received + FAR));
+    assert!(work.is_timely(work.received - FAR) && !work.is_timely(work.received + FAR + 1));
+    assert!(!work.is_timely(0));
+    assert!(!Work { budget: Some(FAR + 1), ..work }.is_timely(1_764_576_000_123_000));
+}
+
+#[test]
+fn damaged_parameters_are_refused_or_make_sense() {
+    let (mut refused, mut read) = (0, 0);
+    for bytes in noise::damaged(&params(|_| None)) {
+        match ask(&bytes) {
+            Ok(Ask::Work(work)) => {
+                assert!(work.held_kb > 0.0 && work.rank < 1.0 && !work.id.is_empty());
+                read += 1;
+            }
+            Ok(Ask::Health(_)) => panic!("no such path was sent"),
+            Err(_) => refused += 1,
+        }
+    }
+    assert!(refused > 100 && read > 5, "{refused} {read}");
+}
+
+#[test]
+fn health_checks_may_ask_for_work() {
+    let check = |query: &str| {
+        let mut bytes = Vec::new();
+        fastcgi::write_pair(&mut bytes, b"SCRIPT_NAME", HEALTH.as_bytes());
+        fastcgi::write_pair(&mut bytes, b"QUERY_STRING", query.as_bytes());
+        ask(&bytes)
+    };
+    assert_eq!(check(""), Ok(Ask::Health(false)));
+    assert_eq!(check("a=2&full=1"), Ok(Ask::Health(true)));
+    assert_eq!(check("full=10"), Ok(Ask::Health(false)));
+}
+
+#[test]
+fn answers_have_their_status_and_fields() {
+    let text = |answer: Answer| String::from_utf8(encode(&answer, None)).expect("text");
+    let refused = text(Answer::Refused { stay_away: 250_001, terminal: true });
+    assert!(refused.starts_with("Status: 503 "), "{refused}");
+    assert!(refused.contains("Back-Off-Ms: 251\r\n") && refused.contains("Final-Refusal: 1\r\n"));
+    let hinted = encode(&Answer::Failed, Some(0.25));
+    assert!(String::from_utf8(hinted).expect("text").contains("\r\nServer-Hint: 0.2500\r\n"));
+    assert!(!refused.contains("Server-Hint"));
+    let bare = text(Answer::Refused { stay_away: 0, terminal: false });
+    assert!(!bare.contains("Back-Off") && !bare.contains("Final"));
+    assert!(text(Answer::Failed).starts_with("Status: 500 "));
+    assert!(text(Answer::Senseless).starts_with("Status: 400 "));
+    let body = vec![0u8, 255, 13, 10, 13, 10, 7];
+    let served = encode(&Answer::Served(body.clone()), None);
+    assert!(served.starts_with(b"Status: 200 ") && served.ends_with(&[&b"\r\n\r\n"[..], &body].concat()));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,7 +11,7 @@
 
 use fields::{flag, list, number, number_or, object, objects, one_of, optional, whole, whole_or};
 use fields::{Object, Read};
-pub use names::{class_names, GaugeNames};
+pub use names::{class_names, tenant_names, GaugeNames};
 
 fn classes(options: &Object, info: &Object) -> Read<Vec<Class>> {
     let calls = list(info, "class_calls")?;
@@ -25,12 +25,9 @@
         ];
         let effect = one_of(o, "effect", "read_like", &effects)?;
         let window = whole_or(o, "repeat_window_us", 0)?;
-        // The shape of a deployment follows from its classes; one that mixes the two is refused by name.
-        if flag(o, "write")? && effect == Effect::Safe {
-            return Err(format!(
-                "field `classes[{at}].write`: a write needs `effect` idempotency_key or non_idempotent"
-            ));
-        }
+        // What may be repeated is said by `effect` alone. A write that does no harm when it is repeated is `read_like`
+        // too: another customer's class may be one, and must not keep the server from starting.
+        flag(o, "write")?;
         if effect == Effect::Keyed && window == 0 {
             return Err(format!(
                 "field `classes[{at}].repeat_window_us`: a keyed class needs a window above 0"
--- a/crates/settings/src/names.rs
+++ b/crates/settings/src/names.rs
@@ -9,6 +9,11 @@
     objects(options, "classes")?.into_iter().map(|o| text(o, "name").map(String::from)).collect()
 }
 
+/// The names of the tenants, in their order.
+pub fn tenant_names(options: &Object) -> Read<Vec<String>> {
+    objects(options, "realms")?.into_iter().map(|o| text(o, "name").map(String::from)).collect()
+}
+
 /// The names of an instance's gauges, in the order in which their values come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GaugeNames(Vec<String>);
