Another body under a key that is taken is answered 400, not the holder's result

Ruled out: health checks, copies under the same name (400 as before). At fault: module.rs arrived linked tries by key alone. Change: an entry keeps length and digest of its body; one that differs is malformed. The test was seen to fail without the comparison: it is a new path, the assertion on the second arrival names it.

--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -1,6 +1,7 @@
 //! Kept keys and results: what lets a repeat be answered without running again.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{BuildHasher, RandomState};
 
 use umberloom::interface::{Micros, RequestId};
 
@@ -13,10 +14,16 @@
 /// What a request is about: the place of its class, and its key.
 pub type Subject = (usize, String);
 
+/// What tells one request's body from another's: its length and a digest that peers can't steer, as its key is drawn
+/// anew for each table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Body(usize, u64);
+
 #[derive(Debug)]
 struct Entry {
     id: RequestId,
     until: Micros,
+    body: Body,
     result: Option<Vec<u8>>,
 }
 
@@ -27,12 +34,18 @@
     /// Subjects in the order in which they were kept.
     order: VecDeque<Subject>,
     bytes: usize,
+    digests: RandomState,
 }
 
 impl Keys {
+    /// What tells this body from others.
+    pub fn digest(&self, body: &[u8]) -> Body {
+        Body(body.len(), self.digests.hash_one(body))
+    }
+
     /// Keeps a request until the stated time; a newer one takes over the entry of an older one. Where the table
     /// is full, what has run out goes first, then the oldest.
-    pub fn keep(&mut self, now: Micros, subject: Subject, id: RequestId, until: Micros) {
+    pub fn keep(&mut self, now: Micros, subject: Subject, (id, body): (RequestId, Body), until: Micros) {
         if let Some(entry) = self.all.get_mut(&subject).filter(|e| e.id == id) {
             entry.until = until;
             return;
@@ -46,7 +59,7 @@
             self.remove(&oldest);
         }
         self.order.push_back(subject.clone());
-        self.all.insert(subject, Entry { id, until, result: None });
+        self.all.insert(subject, Entry { id, until, body, result: None });
     }
 
     /// Forgets the entry of this request.
@@ -56,9 +69,9 @@
         }
     }
 
-    /// The request that has the entry of this subject, and until when.
-    pub fn holder(&self, subject: &Subject) -> Option<(RequestId, Micros)> {
-        self.all.get(subject).map(|e| (e.id.clone(), e.until))
+    /// The request that has the entry of this subject with its body, and until when.
+    pub fn holder(&self, subject: &Subject) -> Option<(RequestId, Body, Micros)> {
+        self.all.get(subject).map(|e| (e.id.clone(), e.body, e.until))
     }
 
     /// The result of a kept request, once it is there.
--- a/crates/server/src/memory/keys/tests.rs
+++ b/crates/server/src/memory/keys/tests.rs
@@ -2,7 +2,12 @@
 
 /// The kept request of this subject whose window is not over.
 fn find(keys: &Keys, subject: &Subject, now: Micros) -> Option<RequestId> {
-    keys.holder(subject).filter(|(_, until)| *until > now).map(|(id, _)| id)
+    keys.holder(subject).filter(|(.., until)| *until > now).map(|(id, ..)| id)
+}
+
+fn keep(keys: &mut Keys, now: Micros, subject: Subject, id: RequestId, until: Micros) {
+    let body = keys.digest(b"body");
+    keys.keep(now, subject, (id, body), until);
 }
 
 fn about(key: &str) -> Subject {
@@ -12,7 +17,7 @@
 #[test]
 fn a_kept_request_is_found_until_its_time_is_up() {
     let mut keys = Keys::default();
-    keys.keep(0, about("k"), "a".into(), 100);
+    keep(&mut keys, 0, about("k"), "a".into(), 100);
     assert_eq!(find(&keys, &about("k"), 99).as_deref(), Some("a"));
     assert_eq!(find(&keys, &about("k"), 100), None);
     assert_eq!(find(&keys, &(1, "k".to_owned()), 0), None);
@@ -25,11 +30,11 @@
 #[test]
 fn a_newer_request_takes_the_entry_over() {
     let mut keys = Keys::default();
-    keys.keep(0, about("k"), "a".into(), 100);
-    keys.keep(0, about("k"), "b".into(), 50);
+    keep(&mut keys, 0, about("k"), "a".into(), 100);
+    keep(&mut keys, 0, about("k"), "b".into(), 50);
     keys.forget(&about("k"), "a");
     assert_eq!(find(&keys, &about("k"), 0).as_deref(), Some("b"));
-    keys.keep(0, about("k"), "b".into(), 200);
+    keep(&mut keys, 0, about("k"), "b".into(), 200);
     assert_eq!(find(&keys, &about("k"), 150).as_deref(), Some("b"));
     keys.forget(&about("k"), "b");
     assert_eq!(find(&keys, &about("k"), 0), None);
@@ -39,7 +44,7 @@
 fn entries_and_results_are_bounded() {
     let mut keys = Keys::default();
     for n in 0..ENTRIES + 10 {
-        keys.keep(0, about(&n.to_string()), n.to_string().into(), 100);
+        keep(&mut keys, 0, about(&n.to_string()), n.to_string().into(), 100);
         keys.add_result(&about(&n.to_string()), &n.to_string(), &[0; 4096]);
     }
     assert!(keys.all.len() <= ENTRIES && keys.bytes <= BYTES);
@@ -53,7 +58,7 @@
 fn too_many_bytes_drop_results_but_keep_their_entries() {
     let mut keys = Keys::default();
     for n in 0..3 {
-        keys.keep(0, about(&n.to_string()), n.to_string().into(), 100);
+        keep(&mut keys, 0, about(&n.to_string()), n.to_string().into(), 100);
         keys.add_result(&about(&n.to_string()), &n.to_string(), &vec![0; BYTES / 2]);
     }
     assert!(keys.bytes <= BYTES, "{}", keys.bytes);
@@ -66,11 +71,11 @@
 #[test]
 fn a_full_table_drops_what_ran_out_before_what_lives() {
     let mut keys = Keys::default();
-    keys.keep(0, about("live"), "live".into(), 1_000);
+    keep(&mut keys, 0, about("live"), "live".into(), 1_000);
     for n in 1..ENTRIES {
-        keys.keep(0, about(&n.to_string()), n.to_string().into(), 10);
+        keep(&mut keys, 0, about(&n.to_string()), n.to_string().into(), 10);
     }
-    keys.keep(20, about("new"), "new".into(), 1_000);
+    keep(&mut keys, 20, about("new"), "new".into(), 1_000);
     assert_eq!(find(&keys, &about("live"), 20).as_deref(), Some("live"));
     assert_eq!(find(&keys, &about("new"), 20).as_deref(), Some("new"));
     assert_eq!(keys.all.len(), 2);
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -296,11 +296,16 @@
         // open no other may run, though its window be over.
         let reached = now.saturating_sub(queued);
         let kept = subject.as_ref().and_then(|subject| self.keys.holder(subject));
-        let lives = |(id, until): &(RequestId, Micros)| *until > reached || self.open.has(id);
-        let repeats = kept.filter(lives).map(|(id, _)| id);
+        let kept = kept.filter(|(id, _, until)| *until > reached || self.open.has(id));
+        // Another request under a key that is taken is no repeat: it must neither run nor get the other's result.
+        let body_is = self.keys.digest(&body);
+        if keyed.is_some() && kept.as_ref().is_some_and(|(_, other, _)| *other != body_is) {
+            return reply_to.answer(Answer::Senseless);
+        }
+        let repeats = kept.map(|(id, ..)| id);
         // Two tries may be read before the module's word on the first: from its arrival on it holds the key.
         if let (Some(class), Some(subject), None) = (keyed, subject, &repeats) {
-            self.keys.keep(now, subject, id.clone(), now + class.window);
+            self.keys.keep(now, subject, (id.clone(), body_is), now + class.window);
         }
         let arrival = Arrival {
             id: id.clone(),
@@ -675,8 +680,12 @@
     }
 
     fn keep(&mut self, now: Micros, id: &RequestId, until: Micros) {
-        let Some(subject) = self.open.get(id).and_then(|open| open.subject()) else { return };
-        self.keys.keep(now, subject, id.clone(), until);
+        let Some((subject, body)) = self.open.get(id).and_then(|open| Some((open.subject()?, &open.body)))
+        else {
+            return;
+        };
+        let body = self.keys.digest(body);
+        self.keys.keep(now, subject, (id.clone(), body), until);
     }
 
     fn forget(&mut self, id: &RequestId) {
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -570,3 +570,23 @@
     bench.act(Action::Signal(0.25));
     assert_eq!(hint.get(), Some(0.25));
 }
+
+/// Guards against another's result given away: a request with a key that is taken and a body of its own got the answer of
+/// the one that held the key (brink days of a site with a keyed class: lost, a bad client was served).
+#[test]
+fn another_body_under_a_key_that_is_taken_is_no_repeat() {
+    let mut bench = keyed();
+    let mut arrives = |id: &str, body: &[u8]| {
+        bench.serial += 1;
+        let work = Work { received: bench.module.clock.unix(), ..bench.work(id, None, Some("k")) };
+        let reply_to = ReplyTo::new(bench.me.clone(), 1, bench.serial);
+        let charge = Budget::new(1).take(0).expect("nothing");
+        let request =
+            Request { id: id.into(), class: 0, tenant: 0, work, body: body.to_vec(), reply_to, charge };
+        bench.module.take(NOW, Message::Request(Box::new(request)));
+        (bench.events().len(), bench.answers())
+    };
+    assert_eq!(arrives("a", b"one berth"), (1, vec![]));
+    assert_eq!(arrives("b", b"two berths"), (0, vec![(2, Answer::Senseless)]), "it goes no further");
+    assert_eq!(arrives("c", b"one berth"), (1, vec![]), "a repeat is still one");
+}
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -90,7 +90,7 @@
     /// Whether this server is well.
     Check(bool),
     /// Work, of the class and the tenant at these places.
-    Work(Work, usize, usize),
+    Work(Box<Work>, usize, usize),
 }
 
 /// The actor of one connection.
@@ -433,7 +433,7 @@
         };
         let id: RequestId = work.id.as_str().into();
         self.pending.insert(slot, Pending { serial, id: Some(id.clone()) });
-        Some(Message::Request(Box::new(Request { id, class, tenant, work, body, reply_to, charge })))
+        Some(Message::Request(Box::new(Request { id, class, tenant, work: *work, body, reply_to, charge })))
     }
 
     fn understand(&self, params: &[u8], too_long: bool) -> Result<Meant, &'static str> {
@@ -457,7 +457,7 @@
             None if self.shared.tenants.is_empty() => 0,
             None => return Err("no tenant"),
         };
-        Ok(Meant::Work(work, class, tenant))
+        Ok(Meant::Work(Box::new(work), class, tenant))
     }
 
     /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
