Servers of a customer with a next tier start: its calls go to `records`

Checked: the configurations that such servers get, printed by a shell built-in in `run` of a scratch clone: servers of the first tier have `downstream` "next_hop" and a `records` address, those of the last "silent" and none. At fault: lifecycle/config.rs refused every next tier, saying that no address is configured. Change: what lies below is reached at `records` whatever it is; without that address the start is refused as before.

--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -118,7 +118,8 @@
                  fewer than the table of kept keys",
             ),
             (self.tenants.iter().all(|name| !name.is_empty()), "a tenant has no name"),
-            (set.below != Below::NextTier, "there is a next tier, to which no address is configured"),
+            // The next tier too is reached there, through a balancer of the platform's: guards against refusing to start
+            // for a customer who has one.
             (
                 set.below == Below::Nothing || self.records.is_some(),
                 "calls are made, but `records` is absent",
