Grace counts from the notice, and a key that lives is never pushed out nor bound to another's request

A full table also dropped keys whose window was over while their request was still open. - A name in use that came again under another key bound that key to the other's request (module.rs arrived): who came with that key later got 400. The key is bound once the request is in. Change: Event::Leave says how long ago the notice came; memory/keys.rs knows which entries bind.

--- a/crates/server/src/lifecycle/config.rs
+++ b/crates/server/src/lifecycle/config.rs
@@ -4,10 +4,9 @@
 use std::path::Path;
 
 use serde_json::Value;
-use umberloom::interface::{Below, Effect, Settings};
+use umberloom::interface::{Below, Settings};
 
 use super::keys_known;
-use crate::memory::keys::ENTRIES;
 use umberloom_settings::fields::{number_or, object, text, whole, whole_or, Object, Read};
 use umberloom_settings::shape::Shape;
 use umberloom_settings::{class_names, locate, settings, tenant_names, GaugeNames};
@@ -107,16 +106,7 @@
         self.settings.check().map_err(|e| e.to_string())?;
         let set = &self.settings;
         let named = |name: &String| !name.is_empty() && !name.contains('/');
-        // The decisions count kept keys in memory and so keep fewer than the table holds, unless keys weigh
-        // too little: then a live key of a keyed class could be pushed out, and its repeat run again.
-        let keyed = set.classes.iter().any(|c| c.effect == Effect::Keyed);
-        let keys_fit = set.key_kb > 0.0 && set.key_kb * ENTRIES as f64 >= set.memory_kb;
         let rules = [
-            (
-                !keyed || keys_fit,
-                "field `family_info.key_kb`: with a keyed class, keys must weigh enough that the memory holds \
-                 fewer than the table of kept keys",
-            ),
             (self.tenants.iter().all(|name| !name.is_empty()), "a tenant has no name"),
             // The next tier too is reached there, through a balancer of the platform's: guards against refusing to start
             // for a customer who has one.
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -5,9 +5,8 @@
 
 use umberloom::interface::{Micros, RequestId};
 
-/// Most entries, and most bytes of results, that are kept. The decisions count each entry in memory and keep
-/// fewer than this where the configuration holds (see `lifecycle::config`): a live entry of a keyed class that
-/// went would let its repeat run again.
+/// Most entries, and most bytes of results, that are kept. A live entry of a keyed class never goes, as that would let its
+/// repeat run again: where these alone fill the table, there is no room for another.
 pub const ENTRIES: usize = 4096;
 const BYTES: usize = 8 << 20;
 
@@ -24,6 +23,8 @@
     id: RequestId,
     until: Micros,
     body: Body,
+    /// It keeps its repeats from running, so it stays while it lives.
+    binding: bool,
     result: Option<Vec<u8>>,
 }
 
@@ -43,23 +44,41 @@
         Body(body.len(), self.digests.hash_one(body))
     }
 
-    /// Keeps a request until the stated time; a newer one takes over the entry of an older one. Where the table
-    /// is full, what has run out goes first, then the oldest.
-    pub fn keep(&mut self, now: Micros, subject: Subject, (id, body): (RequestId, Body), until: Micros) {
+    /// Keeps a request until the stated time; a newer one takes over the entry of an older one. `false`: there is no room
+    /// (see [`Keys::make_room`]).
+    pub fn keep(
+        &mut self,
+        subject: Subject,
+        (id, body): (RequestId, Body),
+        until: Micros,
+        binding: bool,
+    ) -> bool {
         if let Some(entry) = self.all.get_mut(&subject).filter(|e| e.id == id) {
             entry.until = until;
-            return;
+            return true;
         }
         self.remove(&subject);
         if self.all.len() >= ENTRIES {
-            self.expire(now, |_| false);
-        }
-        while self.all.len() >= ENTRIES {
-            let Some(oldest) = self.order.front().cloned() else { break };
-            self.remove(&oldest);
+            return false;
         }
         self.order.push_back(subject.clone());
-        self.all.insert(subject, Entry { id, until, body, result: None });
+        self.all.insert(subject, Entry { id, until, body, binding, result: None });
+        true
+    }
+
+    /// Makes room for one more entry, if it can: what has run out by then goes first, unless its request is still `open`,
+    /// then the oldest of those that bind nobody.
+    pub fn make_room(&mut self, now: Micros, open: impl Fn(&str) -> bool) -> bool {
+        if self.all.len() >= ENTRIES {
+            self.expire(now, open);
+        }
+        if self.all.len() >= ENTRIES {
+            let free = |subject: &&Subject| self.all.get(*subject).is_some_and(|e| !e.binding);
+            if let Some(oldest) = self.order.iter().find(free).cloned() {
+                self.remove(&oldest);
+            }
+        }
+        self.all.len() < ENTRIES
     }
 
     /// Forgets the entry of this request.
--- a/crates/server/src/memory/keys/tests.rs
+++ b/crates/server/src/memory/keys/tests.rs
@@ -7,7 +7,7 @@
 
 fn keep(keys: &mut Keys, now: Micros, subject: Subject, id: RequestId, until: Micros) {
     let body = keys.digest(b"body");
-    keys.keep(now, subject, (id, body), until);
+    assert!(keys.make_room(now, |_| false) && keys.keep(subject, (id, body), until, false));
 }
 
 fn about(key: &str) -> Subject {
@@ -80,3 +80,24 @@
     assert_eq!(find(&keys, &about("new"), 20).as_deref(), Some("new"));
     assert_eq!(keys.all.len(), 2);
 }
+
+/// Guards against a keyed write that runs twice because its key was pushed out of a full table, at a customer whose keys
+/// weigh so little that the decisions keep more of them than the table holds.
+#[test]
+fn what_binds_is_never_pushed_out_while_it_lives() {
+    let mut keys = Keys::default();
+    let body = keys.digest(b"body");
+    for n in 0..ENTRIES {
+        let id = n.to_string();
+        assert!(keys.make_room(0, |_| false));
+        assert!(keys.keep(about(&id), (id.as_str().into(), body), 100, n != 7));
+    }
+    // One binds nobody and gives way; the others stay until they have run out and are no longer open.
+    assert!(keys.make_room(50, |_| false) && keys.keep(about("new"), ("new".into(), body), 100, true));
+    assert_eq!(find(&keys, &about("7"), 50), None);
+    assert!(!keys.make_room(50, |_| false) && !keys.keep(about("x"), ("x".into(), body), 100, true));
+    assert!(!keys.make_room(100, |_| true));
+    assert_eq!((keys.all.len(), find(&keys, &about("0"), 50).as_deref()), (ENTRIES, Some("0")));
+    assert!(keys.make_room(100, |id| id == "0"));
+    assert_eq!(keys.all.len(), 1);
+}
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -81,8 +81,9 @@
     idle: Option<Micros>,
     /// A mailbox was full.
     full: Rare,
-    /// Notice to drain: when the process is stopped.
+    /// Notice to drain: when the process is stopped, and when the notice came.
     stop_at: Option<Micros>,
+    noticed_at: Micros,
 }
 
 impl Module {
@@ -121,6 +122,7 @@
             idle: None,
             full: Rare::default(),
             stop_at,
+            noticed_at: 0,
         }
     }
 
@@ -265,7 +267,8 @@
             }
             Message::Leave(span) => {
                 self.stop_at = Some(now.saturating_add(span));
-                self.events.push(Event::Leave(span));
+                self.noticed_at = now;
+                self.events.push(Event::Leave { left: span, ago: 0 });
             }
         }
     }
@@ -303,9 +306,11 @@
             return reply_to.answer(Answer::Senseless);
         }
         let repeats = kept.map(|(id, ..)| id);
-        // Two tries may be read before the module's word on the first: from its arrival on it holds the key.
-        if let (Some(class), Some(subject), None) = (keyed, subject, &repeats) {
-            self.keys.keep(now, subject, (id.clone(), body_is), now + class.window);
+        // Two tries may be read before the module's word on the first: from its arrival on it holds the key. Without room for
+        // it nothing would keep a repeat from running: it is turned away.
+        let binds = keyed.filter(|_| repeats.is_none()).map(|class| now + class.window).zip(subject);
+        if binds.is_some() && !self.keys.make_room(now, |id| self.open.has(id)) {
+            return reply_to.answer(Answer::Refused { stay_away: 0, terminal: false });
         }
         let arrival = Arrival {
             id: id.clone(),
@@ -339,7 +344,12 @@
             _charge: charge,
         };
         match self.open.insert(Box::new(open)) {
-            Ok(()) => self.events.push(Event::Arrived(arrival)),
+            Ok(()) => {
+                if let Some((until, subject)) = binds {
+                    self.keys.keep(subject, (arrival.id.clone(), body_is), until, true);
+                }
+                self.events.push(Event::Arrived(arrival));
+            }
             // A name that is in use: to give it to the module would mix the two up.
             Err(open) => {
                 let _ = open.reply_to.map(|to| to.answer(Answer::Senseless));
@@ -366,9 +376,12 @@
         self.server = Server::new(now.saturating_sub(since), self.settings.clone()).ok();
         // A fresh server may have something to do before anything happens.
         self.events = vec![Event::Timer(Gauges::default())];
-        self.events.extend(self.stop_at.map(|at| Event::Leave(at.saturating_sub(now))));
+        // A notice to drain that came before the agent was up counts from when it came, and nobody is asked to come to a
+        // server that is leaving.
+        let ago = now.saturating_sub(self.noticed_at);
+        self.events.extend(self.stop_at.map(|at| Event::Leave { left: at.saturating_sub(now), ago }));
         let _ = self.others.up.try_send(());
-        self.tell_list(self.ready.unwrap_or(true));
+        self.tell_list(self.ready.unwrap_or(self.stop_at.is_none()));
     }
 
     /// Answers to questions asked on the lost link will not come.
@@ -685,7 +698,10 @@
             return;
         };
         let body = self.keys.digest(body);
-        self.keys.keep(now, subject, (id.clone(), body), until);
+        let binding = self.settings.classes.get(subject.0).is_some_and(|c| c.effect == Effect::Keyed);
+        if self.keys.make_room(now, |id| self.open.has(id)) {
+            self.keys.keep(subject, (id.clone(), body), until, binding);
+        }
     }
 
     fn forget(&mut self, id: &RequestId) {
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -88,7 +88,7 @@
         "stalled_on_call" => Event::NeedsCall(id(o)?),
         "call_result" => Event::Called(id(o)?, outcome(o)?, whole_or(o, "wait_time_us", 0)?),
         "left" => Event::Gone(id(o)?),
-        "notice" => Event::Leave(whole(o, "grace_us")?),
+        "notice" => Event::Leave { left: whole(o, "grace_us")?, ago: 0 },
         "bell" => Event::Timer(gauges(o, layouts.0.get(&who))?),
         _ => return wrong("op", "an event of the wire"),
     };
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -84,7 +84,7 @@
         is(&line, &format!(r#"Called("a", {name}, 7)"#));
     }
     is(r#"{"op":"left","who":3,"txn":"a"}"#, r#"Gone("a")"#);
-    is(r#"{"op":"notice","who":3,"grace_us":44}"#, "Leave(44)");
+    is(r#"{"op":"notice","who":3,"grace_us":44}"#, "Leave { left: 44, ago: 0 }");
 }
 
 #[test]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -313,9 +313,9 @@
             Event::NeedsCall(id) => self.set_stage(&id, Stage::Running, Stage::AtCall(now)),
             Event::Called(id, outcome, took) => self.called(now, &id, outcome, took),
             Event::Gone(id) => self.names.get(&id).copied().into_iter().for_each(|seq| self.let_go(seq, out)),
-            Event::Leave(grace) => {
-                let end = now + grace.saturating_sub(self.set.answer_slack.max(3 * self.sweep()));
-                self.leave = Some((now, end));
+            Event::Leave { left, ago } => {
+                let end = now + left.saturating_sub(self.set.answer_slack.max(3 * self.sweep()));
+                self.leave = Some((now.saturating_sub(ago), end));
                 self.all.values_mut().for_each(|r| r.due = r.due.min(end));
             }
             Event::Timer(gauges) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -269,8 +269,13 @@
     Called(RequestId, Outcome, Micros),
     /// Nobody waits for the request any more.
     Gone(RequestId),
-    /// Notice to leave: the process is stopped after this span.
-    Leave(Micros),
+    /// Notice to leave.
+    Leave {
+        /// The process is stopped after this span.
+        left: Micros,
+        /// So long ago the notice came: its grace counts from then, however late a host could tell.
+        ago: Micros,
+    },
     /// A timer is due.
     Timer(Gauges),
 }
