What waits unread or in the backlog is answered before its connection or socket closes

Read, each then shown by a test that is red without its fix: - front.rs finish stopped taking the backlog at the first error of any kind: without a descriptor all that waited was reset with its requests. Now only an empty backlog ends it; else the socket stays open and is looked at again. - A connection that never asked lost its place with a whole request unread in its socket (balancer.rs heed). It is read first. - A connection on which nothing was written was dropped with bytes unread: a reset. It ends in order now. - Who found neither a place nor one at the door was closed unread; what it has asked by then is answered OVERLOADED. - Word::Finish got lost where the mailbox had no room; the word stands beside the mailbox now, which only wakes. - A request read after the word to finish went to the module, whose answer might come after the end; it is turned away there. - Descriptors are parted by the system's own limit where that is less than configured.

--- a/crates/server/src/exchange/caller.rs
+++ b/crates/server/src/exchange/caller.rs
@@ -113,7 +113,7 @@
     Answer(u16, u64, Answer),
     /// Close if nothing is open.
     CloseIfIdle,
-    /// Close as soon as nothing is open.
+    /// Look at [`Activity::finish`].
     Finish,
 }
 
@@ -153,4 +153,7 @@
     pub open: Cell<usize>,
     /// It has carried a whole request.
     pub asked: Cell<bool>,
+    /// Set by the front: nothing new is let in, and the connection is to close as soon as nothing is open. It stands here
+    /// and not in the mailbox, as a word that finds no room there must not leave a connection open to the end.
+    pub finish: Cell<bool>,
 }
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -1,5 +1,6 @@
 //! From start to exit.
 
+mod allowed;
 pub mod clock;
 pub mod config;
 mod fleet;
@@ -20,7 +21,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use slog::{error, info, Logger};
+use slog::{error, info, warn, Logger};
 use umberloom::interface::Micros;
 use umberloom_intake::places::Places;
 use umberloom_operator::{Known, Operator};
@@ -64,7 +65,7 @@
     fn of(sockets: usize, fleet: usize) -> Parts {
         let own = 24.min(sockets / 4) + fleet;
         let calls = 64.min(sockets / 8);
-        Parts { connections: sockets - own - calls, calls }
+        Parts { connections: sockets.saturating_sub(own + calls).max(2), calls }
     }
 }
 
@@ -185,7 +186,12 @@
     ) -> Result<Program<'a>, String> {
         let told_fleet = operator.as_ref().and_then(|o| o.fleet.clone());
         let taken = told_fleet.as_ref().map_or(0, |told| descriptors(told.membership.peers.len()));
-        let parts = Parts::of(config.limits.sockets, taken);
+        let sockets = allowed::descriptors(config.limits.sockets);
+        if sockets < config.limits.sockets {
+            let (configured, allowed) = (config.limits.sockets, sockets);
+            warn!(log, "fewer descriptors than configured"; "configured" => configured, "allowed" => allowed);
+        }
+        let parts = Parts::of(sockets, taken);
         let (module, mail) = bounded(module::MAILBOX);
         let (agent, agent_orders) = bounded(agent::MAILBOX);
         let (records, records_orders) = bounded(dependency::MAILBOX);
--- a/crates/server/src/peers/balancer.rs
+++ b/crates/server/src/peers/balancer.rs
@@ -113,6 +113,8 @@
     /// The peer sends no more, or nothing of use.
     deaf: bool,
     finishing: bool,
+    /// Its place is needed: it closes unless a whole request has come by now.
+    leaving: bool,
     /// Something was written on it.
     told: bool,
     /// There is no place for it: until then it may ask, and is told so.
@@ -147,6 +149,7 @@
             useless: 0,
             deaf: false,
             finishing: false,
+            leaving: false,
             told: false,
             door: None,
         };
@@ -159,6 +162,19 @@
         self
     }
 
+    /// Turns away what has come whole by now, without waiting for more, and ends: for who finds no place at all. Its
+    /// request may have been written long ago, and a close without an answer would lose it.
+    pub async fn turn_away_now(mut self) {
+        self.door = Some(0);
+        while let (Ok(Got::Bytes(n)), false) = (stream::read(&self.stream, &mut self.buffer), self.deaf) {
+            self.useless += n;
+            self.take().await;
+            self.expect_whole();
+        }
+        let _ = self.write();
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+
     /// Serves the connection until it is over.
     pub async fn run(mut self) {
         let ended = loop {
@@ -185,6 +201,7 @@
         while let Ok(word) = self.words.try_recv() {
             self.heed(word);
         }
+        self.finishing |= self.activity.finish.get();
         self.write()?;
         let mut busy = false;
         if self.reads() {
@@ -198,7 +215,7 @@
                 }
                 Got::End => self.hear_no_more(),
                 // Only now, so that after a standstill what lies in the socket is read first.
-                Got::Nothing if self.is_late() => {
+                Got::Nothing if self.is_late() || self.is_to_go() => {
                     debug!(self.shared.log, "no whole request came");
                     self.hear_no_more();
                 }
@@ -230,6 +247,11 @@
         done && (self.deaf || self.responder.is_last() || (self.finishing && quiet))
     }
 
+    /// Its place is needed, and it has not asked.
+    fn is_to_go(&self) -> bool {
+        self.leaving && self.responder.whole() == 0 && !self.activity.asked.get()
+    }
+
     fn touch(&mut self) {
         self.activity.last.set(self.shared.clock.now());
     }
@@ -342,12 +364,11 @@
     fn heed(&mut self, word: Word) {
         match word {
             Word::Answer(slot, serial, answer) => self.answer(slot, serial, &answer),
-            // Its place is needed: one that never asked loses it even with a part of a request sent.
-            Word::CloseIfIdle if self.responder.whole() == 0 && !self.activity.asked.get() => {
-                self.hear_no_more();
-            }
+            // Its place is needed: one that never asked loses it even with a part of a request sent, but a whole one that
+            // lies unread in the socket was given to this server and gets its answer.
+            Word::CloseIfIdle if !self.activity.asked.get() => self.leaving = true,
             Word::CloseIfIdle => self.finishing |= self.responder.open() == 0,
-            Word::Finish => self.finishing = true,
+            Word::Finish => {}
         }
     }
 
@@ -410,7 +431,9 @@
         body: Vec<u8>,
         too_long: bool,
     ) -> Option<Message> {
-        if self.door.is_some() {
+        // Once the front lets nothing in, what is still read is turned away here: an answer that waited for the module
+        // might not be written before the process ends.
+        if self.door.is_some() || self.activity.finish.get() {
             self.pending.remove(&slot);
             self.responder.turn_away(slot, Status::Overloaded);
             self.finishing = true;
@@ -461,15 +484,14 @@
     }
 
     /// Closes so that no answer is lost: our end first, then all that the peer still sends is read, as a
-    /// close with bytes unread would be a reset that may overtake an answer.
+    /// close with bytes unread would be a reset that may overtake an answer, or our end of the stream: a request
+    /// that crosses it is sent again only by who sees an orderly end.
     async fn end(&mut self) {
-        if !self.told {
-            // Nothing was said that a reset could overtake.
-            return;
-        }
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
         let stream = &self.stream;
-        let drained = stream::within(LINGER, async {
+        // Where nothing was said, no answer is on its way: its place is needed, and only what is there is read.
+        let span = if self.told { LINGER } else { Duration::ZERO };
+        let drained = stream::within(span, async {
             let mut sink = Buffer::new(4 * 1024);
             let mut left = DRAINED;
             while let (Ok(got), true) = (stream::read(stream, &mut sink), left > 0) {
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -64,6 +64,8 @@
     Order(Option<Order>),
     Over(u64),
     Look,
+    /// What waits to be accepted is to be looked at again, after the word to finish.
+    Backlog,
 }
 
 /// The actor.
@@ -76,6 +78,8 @@
     places: Places,
     idle: Micros,
     all: BTreeMap<u64, Entry>,
+    /// The word to finish has come.
+    finishing: bool,
     next: u64,
     over: (Sender<u64>, Receiver<u64>),
     /// When idle connections are looked for next, whatever else happens.
@@ -103,6 +107,7 @@
             places,
             idle,
             all: BTreeMap::new(),
+            finishing: false,
             next: 0,
             over,
             look_at: Instant::now() + LOOK_EVERY,
@@ -116,7 +121,7 @@
         while self.listener.is_some() || !self.all.is_empty() {
             match self.wait().await {
                 Next::Accepted(stream) => {
-                    self.admit(stream);
+                    self.admit(stream).await;
                     // What has come with it is read before the next one needs its place.
                     future::yield_now().await;
                 }
@@ -126,7 +131,8 @@
                     self.close_idle();
                 }
                 Next::Order(Some(Order::CloseIdle(span))) => self.idle = span,
-                Next::Order(Some(Order::Finish)) => self.finish(),
+                Next::Order(Some(Order::Finish)) => self.finish().await,
+                Next::Backlog => self.take_backlog().await,
                 Next::Order(None) => return,
             }
         }
@@ -142,6 +148,10 @@
         let order = async { Next::Order(self.orders.recv().await.ok()) };
         let accepted = async {
             match &self.listener {
+                Some(_) if self.finishing => {
+                    Timer::after(RETRY).await;
+                    Next::Backlog
+                }
                 Some(listener) if !self.place_is_coming() => self.accept(listener).await,
                 _ => future::pending().await,
             }
@@ -178,18 +188,20 @@
         }
     }
 
-    fn admit(&mut self, stream: TcpStream) {
+    async fn admit(&mut self, stream: TcpStream) {
         let lot = self.lot();
-        if lot == Lot::Closed {
-            // With nothing run: its caller learns at once that it is to go elsewhere.
-            return;
-        }
         let _ = stream.set_nodelay(true);
-        let Ok(stream) = Async::new_nonblocking(stream) else { return };
+        // Sets it non-blocking too, whichever way it was accepted.
+        let Ok(stream) = Async::new(stream) else { return };
         let activity = Rc::new(Activity::default());
+        activity.finish.set(self.finishing);
         let Some((connection, words)) = Connection::new(stream, self.shared.clone(), activity.clone()) else {
             return;
         };
+        if lot == Lot::Closed {
+            // With nothing run: its caller learns at once that it is to go elsewhere.
+            return connection.turn_away_now().await;
+        }
         let at_door = lot == Lot::TurnedAway;
         let connection = if at_door { connection.turned_away(AT_DOOR) } else { connection };
         self.next += 1;
@@ -239,18 +251,39 @@
         }
     }
 
-    /// Connections that wait to be accepted may carry requests: they are taken before the socket closes.
-    fn finish(&mut self) {
-        if let Some(listener) = self.listener.take() {
-            while let Ok((stream, _)) = listener.get_ref().accept() {
-                if stream.set_nonblocking(true).is_ok() {
-                    self.admit(stream);
-                }
-            }
-        }
+    /// Nothing new is let in; each connection closes once nothing is open on it.
+    async fn finish(&mut self) {
+        self.finishing = true;
         for entry in self.all.values() {
+            entry.activity.finish.set(true);
+            // Only to wake it: where there is no room it has other words to wake for.
             let _ = entry.words.try_send(Word::Finish);
         }
+        self.take_backlog().await;
+    }
+
+    /// Connections that wait to be accepted may carry whole requests, which this server has: all are taken before the
+    /// socket closes. An error of one of them is not the end of the others, and without a descriptor the socket stays
+    /// open until connections have ended.
+    async fn take_backlog(&mut self) {
+        // Out of the reactor first, so that the close follows the last look at once: who comes between them is reset.
+        let Some(Ok(listener)) = self.listener.take().map(Async::into_inner) else { return };
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    self.admit(stream).await;
+                    // Who connects without end must not keep the others from ending.
+                    future::yield_now().await;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    warn!(self.log, "not accepted"; "why" => %e);
+                    self.listener = Async::new_nonblocking(listener).ok();
+                    return;
+                }
+            }
+        }
     }
 }
 
--- a/crates/server/src/peers/front/tests.rs
+++ b/crates/server/src/peers/front/tests.rs
@@ -24,7 +24,9 @@
     address: std::net::SocketAddr,
     mail: Receiver<Message>,
     log: Rc<RefCell<Vec<Message>>>,
-    _orders: Sender<Order>,
+    orders: Sender<Order>,
+    shared: Shared,
+    executor: Rc<LocalExecutor<'static>>,
 }
 
 impl Bench {
@@ -49,6 +51,22 @@
         client
     }
 
+    /// A connection without a front, whose actor has looked at it once and waits, with the other end of it.
+    async fn alone(&self) -> (Client, Rc<Activity>, Sender<Word>) {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let address = listener.get_ref().local_addr().expect("an address");
+        let client = Async::<TcpStream>::connect(address).await.expect("connected");
+        let (stream, _) = listener.accept().await.expect("accepted");
+        let activity = Rc::new(Activity::default());
+        let (connection, words) =
+            Connection::new(stream, self.shared.clone(), activity.clone()).expect("memory for it");
+        self.executor.spawn(connection.run()).detach();
+        for _ in 0..8 {
+            future::yield_now().await;
+        }
+        (client, activity, words)
+    }
+
     /// A connection that has asked, was answered and stays.
     async fn idle(&self) -> Client {
         let mut client = self.connect().await;
@@ -64,7 +82,7 @@
 }
 
 fn with_front<F: Future<Output = ()>>(places: Places, idle: Micros, script: impl FnOnce(Bench) -> F) {
-    let executor = Rc::new(LocalExecutor::new());
+    let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let address = listener.get_ref().local_addr().expect("an address");
     let (module, mail) = async_channel::bounded(64);
@@ -81,13 +99,14 @@
         clock: Default::default(),
         log: Logger::root(slog::Discard, slog::o!()),
     };
-    let front = Front::new(executor.clone(), (listener, places), shared, taken, idle);
+    let front = Front::new(executor.clone(), (listener, places), shared.clone(), taken, idle);
     executor.spawn(front.run()).detach();
-    let bench = Bench { address, mail, log: Rc::default(), _orders: orders };
+    let bench = Bench { address, mail, log: Rc::default(), orders, shared, executor: executor.clone() };
     async_io::block_on(executor.run(script(bench)));
 }
 
-async fn ask(client: &mut Client) {
+/// What a health check is in bytes.
+fn check() -> Vec<u8> {
     let mut params = Vec::new();
     for (name, value) in [("SCRIPT_NAME", "/status/live"), ("REQUEST_METHOD", "GET")] {
         params.extend_from_slice(&[name.len() as u8, value.len() as u8]);
@@ -99,7 +118,11 @@
     fastcgi::write(&mut bytes, fastcgi::kind::PARAMS, 1, &params);
     fastcgi::write(&mut bytes, fastcgi::kind::PARAMS, 1, &[]);
     fastcgi::write(&mut bytes, fastcgi::kind::STDIN, 1, &[]);
-    client.write_all(&bytes).await.expect("written");
+    bytes
+}
+
+async fn ask(client: &mut Client) {
+    client.write_all(&check()).await.expect("written");
 }
 
 /// The protocol status of the next answer, or `None` where the connection ends before one.
@@ -206,3 +229,121 @@
     let answers = std::iter::from_fn(|| mail.try_recv().ok()).filter(|w| matches!(w, Word::Answer(..)));
     assert_eq!(answers.count(), OPEN);
 }
+
+/// Written at once: nothing of the server runs between this and what the test does next.
+fn put(client: &Client, bytes: &[u8]) {
+    use std::io::Write;
+    assert_eq!(client.get_ref().write(bytes).expect("written"), bytes.len());
+}
+
+/// What comes until the connection ends, and whether it ends in order, without a reset.
+async fn rest(client: &mut Client) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    let ended = within(client.read_to_end(&mut bytes)).await;
+    (bytes, ended.is_ok())
+}
+
+/// Guards against a request that was written whole, waits unread, and is dropped as its connection never asked before: the
+/// word that its place is needed comes between its last byte and the reading.
+#[test]
+fn a_whole_request_that_lies_unread_is_answered_though_its_place_is_needed() {
+    with_front(Places::new(9, &[1]), 60_000_000, |bench| async move {
+        let (mut client, _, words) = bench.alone().await;
+        put(&client, &check());
+        words.try_send(Word::CloseIfIdle).expect("room");
+        bench.answer_check().await;
+        assert_eq!(status(&mut client).await, Some(0));
+    });
+}
+
+/// And one that never comes whole gets an orderly end, not a reset over its unread bytes.
+#[test]
+fn half_a_request_whose_place_is_needed_ends_without_a_reset() {
+    with_front(Places::new(9, &[1]), 60_000_000, |bench| async move {
+        let bytes = check();
+        for cut in [0, 1, 8, bytes.len() / 2, bytes.len() - 1] {
+            let (mut client, _, words) = bench.alone().await;
+            put(&client, &bytes[..cut]);
+            words.try_send(Word::CloseIfIdle).expect("room");
+            assert_eq!(rest(&mut client).await, (Vec::new(), true), "{cut}");
+        }
+    });
+}
+
+/// Guards against a connection that is never told to finish, as its mailbox had no room for the word.
+#[test]
+fn the_end_reaches_a_connection_whose_mailbox_is_full() {
+    with_front(Places::new(9, &[1]), 60_000_000, |bench| async move {
+        let (mut client, activity, words) = bench.alone().await;
+        // Who has asked may be silent for as long as the front lets it.
+        ask(&mut client).await;
+        bench.answer_check().await;
+        assert_eq!(status(&mut client).await, Some(0));
+        while words.try_send(Word::Answer(9, 0, Answer::Failed)).is_ok() {}
+        activity.finish.set(true);
+        words.try_send(Word::Finish).expect_err("no room");
+        assert_eq!(rest(&mut client).await, (Vec::new(), true));
+    });
+}
+
+/// Guards against a request that is read after the word to finish and passed on, so that its answer waits for others and
+/// may not be written any more.
+#[test]
+fn what_is_read_after_the_word_to_finish_is_turned_away_at_once() {
+    with_front(Places::new(9, &[1]), 60_000_000, |bench| async move {
+        let (mut client, activity, words) = bench.alone().await;
+        put(&client, &check());
+        activity.finish.set(true);
+        words.try_send(Word::Finish).expect("room");
+        assert_eq!(status(&mut client).await, Some(2));
+        assert_eq!(status(&mut client).await, None);
+        assert!(bench.mail.is_empty());
+    });
+}
+
+/// Guards against a reset of requests that were written whole to connections that wait to be accepted, or for which there
+/// is no place at all: each gets an answer.
+#[test]
+fn requests_in_the_backlog_are_answered_at_the_end() {
+    with_front(Places::new(3, &[1]), 60_000_000, |bench| async move {
+        let busy = [bench.busy().await, bench.busy().await];
+        // In one go, so that the front finds them all in the backlog with the word to finish before them.
+        let mut waiting = Vec::new();
+        bench.orders.try_send(Order::Finish).expect("room");
+        for _ in 0..20 {
+            let client = std::net::TcpStream::connect(bench.address).expect("connected");
+            let client = Async::new(client).expect("registered");
+            put(&client, &check());
+            waiting.push(client);
+        }
+        for client in &mut waiting {
+            assert_eq!(status(client).await, Some(2));
+            assert_eq!(status(client).await, None);
+        }
+        // The socket is closed, and what was open before is still answered.
+        Async::<TcpStream>::connect(bench.address).await.expect_err("refused");
+        for message in bench.log.borrow_mut().drain(..) {
+            let Message::Check(check) = message else { panic!("{message:?}") };
+            check.reply_to.answer(Answer::Health(true));
+        }
+        for mut client in busy {
+            assert_eq!(status(&mut client).await, Some(0));
+        }
+    });
+}
+
+/// The same while the server serves: who finds neither a place nor one at the door is told so, if it has asked.
+#[test]
+fn who_finds_no_place_at_all_is_answered_if_it_has_asked() {
+    with_front(Places::new(3, &[1]), 60_000_000, |bench| async move {
+        let _busy = [bench.busy().await, bench.busy().await];
+        let _at_door = bench.connect().await;
+        for _ in 0..5 {
+            let client = std::net::TcpStream::connect(bench.address).expect("connected");
+            let mut client = Async::new(client).expect("registered");
+            put(&client, &check());
+            assert_eq!(status(&mut client).await, Some(2));
+            assert_eq!(status(&mut client).await, None);
+        }
+    });
+}
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -26,6 +26,15 @@
         World(umberloom_standins::World::up_with(program(), change, Some(operator)))
     }
 
+    /// A server that is up under a limit of the system itself on its descriptors.
+    pub fn up_within(descriptors: usize, change: Change) -> World {
+        let world = umberloom_standins::World::start_within(program(), change, None, Some(descriptors));
+        let mut world = World(world);
+        world.agent.greet();
+        assert_eq!(world.announce.report(), "true");
+        world
+    }
+
     /// A server whose agent accepts its link and says nothing yet.
     pub fn start(change: Change) -> World {
         World(umberloom_standins::World::start(program(), change))
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -82,6 +82,13 @@
         self.greet_again();
     }
 
+    /// Waits for the link of another process of the server: what the one before said is over, and notices are numbered anew.
+    pub fn linked_anew(&mut self) {
+        self.linked();
+        self.seq = 0;
+        self.commands.clear();
+    }
+
     /// Greets on the present link.
     pub fn greet_again(&mut self) {
         self.say(&json!({"op": "greeting", "end": "running", "ms": 5}));
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -86,6 +86,8 @@
     /// Where the server listens.
     pub listen: SocketAddr,
     program: PathBuf,
+    /// The system's own limit on its descriptors.
+    descriptors: Option<usize>,
     config: Value,
     folder: PathBuf,
     server: Child,
@@ -115,6 +117,16 @@
 
     /// The same with an operator's file.
     pub fn start_with(program: &Path, change: Change, operator: Option<&str>) -> World {
+        World::start_within(program, change, operator, None)
+    }
+
+    /// The same, with a limit of the system itself on the descriptors of the process.
+    pub fn start_within(
+        program: &Path,
+        change: Change,
+        operator: Option<&str>,
+        descriptors: Option<usize>,
+    ) -> World {
         let (agent, records, announce) = (Agent::start(), Records::start(), Announce::start());
         let listen = free_address();
         let mut config = json!({
@@ -129,8 +141,8 @@
             std::fs::write(folder.join("operator.kdl"), text).expect("written");
         }
         let program = program.to_owned();
-        let server = launch(&program, &folder);
-        World { agent, records, announce, listen, program, config, folder, server }
+        let server = launch(&program, &folder, descriptors);
+        World { agent, records, announce, listen, program, descriptors, config, folder, server }
     }
 
     /// A connection of a balancer.
@@ -150,7 +162,7 @@
     pub fn kill_and_restart(&mut self) {
         self.server.kill().expect("killed");
         self.server.wait().expect("ended");
-        self.server = launch(&self.program, &self.folder);
+        self.server = launch(&self.program, &self.folder, self.descriptors);
     }
 
     /// Replaces the configuration file as a whole, as operators would, and says so.
@@ -203,6 +215,11 @@
         assert!(sent.success());
     }
 
+    /// Starts it again once it has ended.
+    pub fn restart(&mut self) {
+        self.server = launch(&self.program, &self.folder, self.descriptors);
+    }
+
     /// Waits for the server to end by itself.
     pub fn ended(&mut self) -> ExitStatus {
         eventually("the server's end", || self.server.try_wait().expect("a child"))
@@ -221,6 +238,16 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// Number of the server's process.
+    pub fn id(&self) -> u32 {
+        self.server.id()
+    }
+
+    /// Whether the server holds the descriptor of this number.
+    pub fn holds_descriptor(&self, number: usize) -> bool {
+        std::fs::symlink_metadata(format!("/proc/{}/fd/{number}", self.server.id())).is_ok()
+    }
+
     /// Descriptors that the server holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.server.id())).map_or(0, Iterator::count)
@@ -241,8 +268,16 @@
     command
 }
 
-fn launch(program: &Path, folder: &Path) -> Child {
-    let mut command = command(program);
+fn launch(program: &Path, folder: &Path, descriptors: Option<usize>) -> Child {
+    let mut command = match descriptors {
+        None => command(program),
+        // It sets the limit and becomes the program.
+        Some(most) => {
+            let mut command = command(Path::new("prlimit"));
+            command.arg(format!("--nofile={most}:{most}")).arg(program);
+            command
+        }
+    };
     command.arg("serve").env("BALANCER_CONFIG", folder.join("config.json"));
     let operator = folder.join("operator.kdl");
     if operator.exists() {
