Tries of many servers at what is down or coming back are spread by their number

Read: the ramp, the probes and the breaker of a routed endpoint (crates/dependencies) and the reports to the list went by each server alone. Servers that saw an endpoint fail at one moment probed it at one moment; all tried a list that was down every 100 ms, and met it together when it returned. A word given up after 0.3 s could be read after a newer one and stood until the next report. Change: pace.rs says when one of so many servers tries next, by draws of its own; `servers` of the settings is the number. An endpoint that comes back is drawn for half of its part of its share, so that a server with few calls has no step of a whole one. A word that may have been overtaken is said again soon. Between tries of a list that is down lie 0.05 to 1.05 s. Tests: properties at 1 to 30 deciders and N from 1 to 100 for tries and for the ramp; probes, breaker and list at 30. Seen red without: probes in step, tries not by the number, ramp not thinned. Not seen red: the rule of the ramp before, by cost; it kept the sum too, and gave servers with few calls nothing until the ramp's end.

--- a/crates/dependencies/src/breaker.rs
+++ b/crates/dependencies/src/breaker.rs
@@ -2,9 +2,11 @@
 
 use std::collections::VecDeque;
 
+use rand::Rng;
 use umberloom::interface::Micros;
 
 use crate::config::Breaker as Settings;
+use crate::pace;
 
 /// Probes in a row that must go well before it closes.
 const WELL: u32 = 3;
@@ -79,11 +81,17 @@
     }
 
     /// A call is over. `failed` is `None` where it says nothing, as when nobody waited for it any more.
-    pub fn end(&mut self, now: Micros, probe: bool, failed: Option<bool>) {
+    pub fn end(
+        &mut self,
+        now: Micros,
+        probe: bool,
+        failed: Option<bool>,
+        (servers, random): (u32, &mut impl Rng),
+    ) {
         self.probes -= usize::from(probe);
         let Some(failed) = failed else { return };
         match self.state(now) {
-            State::Closed => self.note(now, failed),
+            State::Closed => self.note(now, failed, (servers, random)),
             // Calls from before it opened say nothing about now.
             State::Probing(well) if probe && !failed => {
                 self.state = if well + 1 >= WELL { State::Closed } else { State::Probing(well + 1) };
@@ -92,27 +100,28 @@
                     self.forget();
                 }
             }
-            State::Probing(_) if probe => self.open(now),
+            State::Probing(_) if probe => self.open(now, (servers, random)),
             State::Probing(_) | State::Open(_) => {}
         }
     }
 
-    fn note(&mut self, now: Micros, failed: bool) {
+    fn note(&mut self, now: Micros, failed: bool, among: (u32, &mut impl Rng)) {
         let Some(settings) = self.settings else { return };
         self.last.push_back(failed);
         self.failed += usize::from(failed);
         self.trim(settings);
         let enough = ENOUGH.min(settings.calls as usize);
         if self.last.len() >= enough && self.failed as f64 >= settings.share * self.last.len() as f64 {
-            self.open(now);
+            self.open(now, among);
         }
     }
 
-    fn open(&mut self, now: Micros) {
+    /// Servers that saw it fail at one moment must not all look again at one moment.
+    fn open(&mut self, now: Micros, (servers, random): (u32, &mut impl Rng)) {
         let Some(settings) = self.settings else { return };
         let span = settings.open * Micros::from((1 << self.opened.min(16)).min(LONGEST));
         self.opened += 1;
-        self.state = State::Open(now + span);
+        self.state = State::Open(now + pace::spread(servers, span, random));
         self.forget();
     }
 
@@ -129,65 +138,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SETTINGS: Settings = Settings { share: 0.5, calls: 20, open: 1_000 };
-
-    fn call(breaker: &mut Breaker, now: Micros, failed: bool) -> bool {
-        let allowed = breaker.allows(now);
-        if allowed {
-            let probe = breaker.start(now);
-            breaker.end(now, probe, Some(failed));
-        }
-        allowed
-    }
-
-    #[test]
-    fn it_opens_at_its_share_and_not_before() {
-        let mut breaker = Breaker::new(Some(SETTINGS));
-        (0..40).for_each(|n| assert!(call(&mut breaker, 0, n % 3 == 0)));
-        assert_eq!(breaker.state(0), State::Closed);
-        while breaker.state(0) == State::Closed {
-            call(&mut breaker, 0, true);
-        }
-        assert_eq!(breaker.state(999), State::Open(1_000));
-        assert!(!breaker.allows(999));
-    }
-
-    #[test]
-    fn one_probe_at_a_time_and_three_good_ones_close_it() {
-        let mut breaker = Breaker::new(Some(SETTINGS));
-        (0..5).for_each(|_| assert!(call(&mut breaker, 0, true)));
-        assert!(breaker.allows(1_000));
-        let probe = breaker.start(1_000);
-        assert!(probe && !breaker.allows(1_000));
-        breaker.end(1_010, probe, Some(false));
-        assert!(call(&mut breaker, 1_020, false) && breaker.state(1_020) == State::Probing(2));
-        assert!(call(&mut breaker, 1_030, false) && breaker.state(1_030) == State::Closed);
-    }
-
-    #[test]
-    fn failed_probes_keep_it_open_for_longer() {
-        let mut breaker = Breaker::new(Some(SETTINGS));
-        (0..5).for_each(|_| assert!(call(&mut breaker, 0, true)));
-        let mut at = 1_000;
-        for span in [2_000, 4_000, 4_000, 4_000] {
-            assert!(call(&mut breaker, at, true));
-            assert_eq!(breaker.state(at), State::Open(at + span));
-            at += span;
-        }
-    }
-
-    #[test]
-    fn calls_from_before_and_calls_without_a_word_do_not_count() {
-        let mut breaker = Breaker::new(Some(SETTINGS));
-        let old = breaker.start(0);
-        (0..5).for_each(|_| assert!(call(&mut breaker, 0, true)));
-        breaker.end(500, old, Some(false));
-        assert_eq!(breaker.state(500), State::Open(1_000));
-        let probe = breaker.start(1_000);
-        breaker.end(1_100, probe, None);
-        assert!(breaker.allows(1_100), "its place is free for another probe");
-    }
-}
+mod tests;
--- a/crates/dependencies/src/config.rs
+++ b/crates/dependencies/src/config.rs
@@ -141,11 +141,14 @@
     pub out_most: f64,
     /// Time over which one that comes back gets its full share again.
     pub ramp: Micros,
+    /// Servers that route to the same endpoints, this one included: by the platform's settings, not by the operator's file.
+    /// Their probes are spread by it.
+    pub servers: u32,
 }
 
 impl Default for Route {
     fn default() -> Route {
-        Route { failures: 5, lag: 5.0, out: 1_000 * MS, out_most: 0.5, ramp: 5_000 * MS }
+        Route { failures: 5, lag: 5.0, out: 1_000 * MS, out_most: 0.5, ramp: 5_000 * MS, servers: 1 }
     }
 }
 
--- a/crates/dependencies/src/engine.rs
+++ b/crates/dependencies/src/engine.rs
@@ -617,7 +617,8 @@
 
     fn release(&mut self, now: Micros, attempt: &Attempt, outcome: Option<Outcome>) {
         let took = now.saturating_sub(attempt.started);
-        self.services[attempt.service].end(now, attempt.endpoint, attempt.probe, took, outcome);
+        let what = (attempt.endpoint, attempt.probe);
+        self.services[attempt.service].end(now, what, took, outcome, &mut self.random);
         self.freed.insert(attempt.service);
     }
 
--- a/crates/dependencies/src/lib.rs
+++ b/crates/dependencies/src/lib.rs
@@ -10,7 +10,7 @@
 //!   a slow one gets a second copy;
 //! - which endpoint it goes to and which endpoints are left out ([`route`]);
 //! - how many calls are in flight ([`limit`]), and who gets a scarce place;
-//! - when a dependency is not called at all ([`breaker`]);
+//! - when a dependency is not called at all ([`breaker`]), and how far apart many servers look again ([`pace`]);
 //! - what stands in for a reply ([`kept`], [`config::Fallback`]) and what the run is told ([`envelope`]).
 //!
 //! There is no I/O, no clock and no source of chance of its own: [`Engine`] takes events with their times and gives
@@ -49,6 +49,7 @@
 pub mod kept;
 pub mod latency;
 pub mod limit;
+pub mod pace;
 mod plan;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/dependencies/src/pace/tests.rs
@@ -0,0 +1,48 @@
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+
+const WINDOW: Micros = 100_000;
+
+/// Most tries of all servers within one window, over a minute after all of them lost it at one moment.
+fn most_at_once(servers: u32, most: f64, seed: u64) -> usize {
+    let mut tries: Vec<Micros> = Vec::new();
+    for server in 0..servers {
+        let mut random = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(131).wrapping_add(u64::from(server)));
+        let mut now = 0;
+        while now < 60_000_000 {
+            now += next_try(servers, (WINDOW, most), Micros::MAX, &mut random);
+            tries.push(now);
+        }
+    }
+    tries.sort_unstable();
+    let (mut from, mut found) = (0, 0);
+    for (place, at) in tries.iter().enumerate() {
+        while tries[from] + WINDOW <= *at {
+            from += 1;
+        }
+        found = found.max(place + 1 - from);
+    }
+    found
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+    /// Whatever the budget and however many servers: never more than N + 2 x root of N + 2 in a window.
+    #[test]
+    fn tries_of_all_servers_stay_within_the_budget(servers in 1u32..=30, most in 1u32..=100, seed in 0u64..1_000) {
+        let (found, most) = (most_at_once(servers, f64::from(most), seed), f64::from(most));
+        prop_assert!(found as f64 <= most + 2.0 * most.sqrt() + 2.0, "{} of {}", found, most);
+    }
+
+    #[test]
+    fn spans_have_bounds(servers in 0u32..10_000, most in 1u32..100, seed in 0u64..1_000) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let span = next_try(servers, (WINDOW, f64::from(most)), 700_000, &mut random);
+        prop_assert!((WINDOW / 2..=700_000).contains(&span), "{}", span);
+        prop_assert!((1_000..=2_000).contains(&spread(servers, 1_000, &mut random)));
+        prop_assert_eq!(spread(1, 1_000, &mut random), 1_000);
+    }
+}
--- a/crates/dependencies/src/route.rs
+++ b/crates/dependencies/src/route.rs
@@ -8,9 +8,13 @@
 use crate::config::{Bounds, Route};
 use crate::latency::Peak;
 use crate::limit::{Limit, LimitView, Sample};
+use crate::pace;
 
 /// An endpoint that comes back starts with this part of its full share.
 const RAMP_FROM: f64 = 0.1;
+/// Of the part of its full share that an endpoint has while it comes back so much is used; the rest is for chance, as many
+/// servers draw by themselves.
+const RAMP_USED: f64 = 0.5;
 /// Left out again, it stays out twice as long, up to so many times as long as at first.
 const LONGEST: u32 = 4;
 /// A failed call counts as so many times the usual time: an endpoint that fails fast must not draw calls by it.
@@ -128,8 +132,9 @@
     /// The endpoint for a call, other than those in `avoid` as long as there is another. `None`: no place now.
     ///
     /// One whose time out has passed is probed first. Otherwise two are drawn, and the better of them by calls in
-    /// flight and time taken of late gets the call. Where none is in use, all are again: calls that may fail tell
-    /// more than calls that are not made.
+    /// flight and time taken of late gets the call. One that comes back is drawn for its part of its share only: a server
+    /// with few calls has no smaller step than one, and thirty of them with one call each would be all that it is to get
+    /// later. Where none is in use, all are again: calls that may fail tell more than calls that are not made.
     pub fn pick(&self, now: Micros, avoid: &[usize], random: &mut impl Rng) -> Option<usize> {
         let usable = |p: &usize| !self.all[*p].retired && self.all[*p].limit.has_place();
         let due = |p: &usize| matches!(self.all[*p].state, State::Out(until) if now >= until);
@@ -148,10 +153,19 @@
         if count < 2 {
             return nth(0);
         }
-        let first = random.random_range(0..count);
-        let second = (first + random.random_range(1..count)) % count;
-        let (first, second) = (nth(first)?, nth(second)?);
-        Some(if self.cost(now, second) < self.cost(now, first) { second } else { first })
+        let first = nth(random.random_range(0..count))?;
+        let comes_back = |p: &usize| self.weight(now, &self.all[*p]) < 1.0;
+        let settled = |p: &usize| from(p) && !comes_back(p) && *p != first;
+        let others = all.clone().filter(settled).count();
+        if others == 0 {
+            return Some(first);
+        }
+        let second = all.clone().filter(settled).nth(random.random_range(0..others))?;
+        if comes_back(&first) {
+            let part = self.weight(now, &self.all[first]) * RAMP_USED;
+            return Some(if random.random_bool(part) { first } else { second });
+        }
+        Some(if self.cost(second) < self.cost(first) { second } else { first })
     }
 
     /// Whether `pick` could give an endpoint that is none of these.
@@ -160,11 +174,11 @@
         self.all.iter().enumerate().any(usable)
     }
 
-    fn cost(&self, now: Micros, place: usize) -> f64 {
+    fn cost(&self, place: usize) -> f64 {
         let endpoint = &self.all[place];
         let known = endpoint.peak.value().max(endpoint.trouble.value());
         let time = if known > 0.0 { known } else { self.usual(None) };
-        (endpoint.limit.in_flight() + 1) as f64 * time / self.weight(now, endpoint)
+        (endpoint.limit.in_flight() + 1) as f64 * time
     }
 
     /// The part of its full share that an endpoint gets: it grows while it comes back.
@@ -193,7 +207,14 @@
     }
 
     /// It is over. `failed` is `None` where it says nothing of the endpoint's health.
-    pub fn end(&mut self, now: Micros, place: usize, sample: Sample, failed: Option<bool>) {
+    pub fn end(
+        &mut self,
+        now: Micros,
+        place: usize,
+        sample: Sample,
+        failed: Option<bool>,
+        random: &mut impl Rng,
+    ) {
         let usual = self.usual(Some(place));
         let endpoint = &mut self.all[place];
         endpoint.limit.end(now, sample);
@@ -214,12 +235,12 @@
         if endpoint.state == State::Probing {
             match failed {
                 Some(false) => self.bring_back(now, place),
-                Some(true) => self.leave_out(now, place, Reason::Failed),
+                Some(true) => self.leave_out(now, place, Reason::Failed, random),
                 // It proved nothing: the next call may try.
                 None => endpoint.state = State::Out(now),
             }
         } else {
-            self.judge(now, place);
+            self.judge(now, place, random);
         }
     }
 
@@ -231,7 +252,7 @@
         (endpoint.peak, endpoint.trouble) = (Peak::default(), Peak::default());
     }
 
-    fn judge(&mut self, now: Micros, place: usize) {
+    fn judge(&mut self, now: Micros, place: usize, random: &mut impl Rng) {
         let endpoint = &self.all[place];
         let State::In(full) = endpoint.state else { return };
         let lags = endpoint.answered >= ENOUGH
@@ -242,7 +263,7 @@
             false => lags.then_some(Reason::Lagged),
         };
         match reason {
-            Some(reason) if self.may_leave_out() => self.leave_out(now, place, reason),
+            Some(reason) if self.may_leave_out() => self.leave_out(now, place, reason, random),
             Some(_) => self.all[place].held_in = true,
             None => {
                 let endpoint = &mut self.all[place];
@@ -265,12 +286,13 @@
         self.all.iter().filter(|e| !e.retired && !matches!(e.state, State::In(_))).count()
     }
 
-    fn leave_out(&mut self, now: Micros, place: usize, reason: Reason) {
+    fn leave_out(&mut self, now: Micros, place: usize, reason: Reason, random: &mut impl Rng) {
         let endpoint = &mut self.all[place];
         let times = endpoint.out.map_or(0, |(_, times)| times);
         let span = self.settings.out * Micros::from((1 << times.min(16)).min(LONGEST));
         endpoint.out = Some((reason, times + 1));
-        endpoint.state = State::Out(now + span);
+        // Servers that saw it fail at one moment must not all look again at one moment.
+        endpoint.state = State::Out(now + pace::spread(self.settings.servers, span, random));
         endpoint.held_in = false;
     }
 
@@ -316,175 +338,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::SeedableRng;
-    use rand_chacha::ChaCha8Rng;
-
-    const BOUNDS: Bounds = Bounds { start: 8, least: 1, most: 8 };
-    const ROUTE: Route = Route { failures: 3, lag: 5.0, out: 1_000_000, out_most: 0.5, ramp: 5_000_000 };
-
-    fn pool(count: usize) -> (Pool, ChaCha8Rng) {
-        let addresses: Vec<String> = (0..count).map(|n| format!("e{n}")).collect();
-        (Pool::new(ROUTE, &addresses, BOUNDS), ChaCha8Rng::seed_from_u64(7))
-    }
-
-    /// One call after the other, each 1 ms later; how many went to each endpoint.
-    fn play(
-        pool: &mut Pool,
-        random: &mut ChaCha8Rng,
-        (from, calls): (Micros, u64),
-        ends: impl Fn(usize) -> (Micros, bool),
-    ) -> Vec<u64> {
-        let mut got = vec![0; pool.all.len()];
-        for n in 0..calls {
-            let now = from + n * 1_000;
-            let place = pool.pick(now, &[], random).expect("a place");
-            pool.start(place);
-            let (took, failed) = ends(place);
-            pool.end(now, place, Sample::Answered(took), Some(failed));
-            got[place] += 1;
-            assert_eq!(pool.check(), Ok(()));
-        }
-        got
-    }
-
-    /// As many failures in a row as it takes.
-    fn fail(pool: &mut Pool, place: usize, now: Micros) {
-        for _ in 0..ROUTE.failures {
-            pool.start(place);
-            pool.end(now, place, Sample::Silent, Some(true));
-        }
-    }
-
-    #[test]
-    fn calls_are_spread_and_the_quicker_gets_more() {
-        let (mut pool, mut random) = pool(4);
-        let even = play(&mut pool, &mut random, (0, 4_000), |_| (1_000, false));
-        assert!(even.iter().all(|&n| (800..1_200).contains(&n)), "{even:?}");
-        let uneven =
-            play(&mut pool, &mut random, (4_000_000, 4_000), |p| (if p == 0 { 3_000 } else { 1_000 }, false));
-        assert!(uneven[0] < even[0] / 2, "{uneven:?}");
-    }
-
-    #[test]
-    fn one_that_fails_fast_does_not_draw_calls() {
-        let (mut pool, mut random) = pool(4);
-        play(&mut pool, &mut random, (0, 400), |_| (20_000, false));
-        let got =
-            play(
-                &mut pool,
-                &mut random,
-                (400_000, 1_000),
-                |p| if p == 2 { (10, true) } else { (20_000, false) },
-            );
-        // It need not even be left out: one failure counts as ten times what the others take.
-        assert!(got[2] <= 5, "{got:?}");
-    }
-
-    #[test]
-    fn one_that_lags_is_left_out() {
-        let (mut pool, mut random) = pool(4);
-        play(&mut pool, &mut random, (0, 400), |_| (1_000, false));
-        let got =
-            play(&mut pool, &mut random, (400_000, 400), |p| (if p == 1 { 9_000 } else { 1_000 }, false));
-        assert!(got[1] <= 3, "{got:?}");
-        assert_eq!(pool.explain()[1].out.map(|(why, _)| why), Some(Reason::Lagged));
-    }
-
-    #[test]
-    fn one_comes_back_by_a_probe_and_slowly() {
-        let (mut pool, mut random) = pool(2);
-        play(&mut pool, &mut random, (0, 100), |_| (1_000, false));
-        fail(&mut pool, 0, 200_000);
-        assert!(matches!(pool.explain()[0].state, State::Out(_)));
-        let at = pool.next_probe().expect("a probe");
-        assert_eq!(pool.pick(at, &[], &mut random), Some(0), "a probe comes first");
-        pool.start(0);
-        assert_eq!(pool.pick(at, &[], &mut random), Some(1), "one at a time");
-        pool.end(at, 0, Sample::Answered(1_000), Some(false));
-        let first = play(&mut pool, &mut random, (at, 500), |_| (1_000, false));
-        let later = play(&mut pool, &mut random, (at + 6_000_000, 500), |_| (1_000, false));
-        assert!(first[0] < 100 && (180..320).contains(&later[0]), "{first:?} {later:?}");
-    }
-
-    #[test]
-    fn each_failed_probe_doubles_the_time_out() {
-        let (mut pool, mut random) = pool(2);
-        play(&mut pool, &mut random, (0, 200), |_| (1_000, false));
-        fail(&mut pool, 0, 200_000);
-        assert_eq!(pool.explain()[0].out, Some((Reason::Failed, 1)));
-        let mut spans = Vec::new();
-        let mut at = pool.next_probe().expect("a probe");
-        for _ in 0..5 {
-            pool.start(0);
-            pool.end(at, 0, Sample::Answered(10), Some(true));
-            let next = pool.next_probe().expect("a probe");
-            spans.push((next - at) / ROUTE.out);
-            at = next;
-        }
-        assert_eq!(spans, [2, 4, 4, 4, 4]);
-    }
-
-    #[test]
-    fn no_more_are_out_than_allowed_and_the_rest_is_held_in() {
-        let (mut pool, mut random) = pool(4);
-        play(&mut pool, &mut random, (0, 900), |_| (1_000, true));
-        let views = pool.explain();
-        assert_eq!(views.iter().filter(|v| matches!(v.state, State::Out(_))).count(), 2);
-        assert_eq!(views.iter().filter(|v| v.held_in).count(), 2);
-        // They still get calls.
-        assert!(pool.pick(900_000, &[], &mut random).is_some());
-    }
-
-    #[test]
-    fn where_all_may_be_out_and_are_calls_go_to_any() {
-        let (mut pool, mut random) = pool(3);
-        pool.set(0, Route { out_most: 1.0, ..ROUTE }, &["e0".into(), "e1".into(), "e2".into()], BOUNDS);
-        for place in 0..3 {
-            (0..3).for_each(|_| {
-                pool.start(place);
-                pool.end(0, place, Sample::Answered(10), Some(true));
-            });
-        }
-        assert!(pool.explain().iter().all(|v| matches!(v.state, State::Out(_))));
-        let mut seen: Vec<usize> = (0..50).filter_map(|_| pool.pick(1, &[], &mut random)).collect();
-        seen.sort_unstable();
-        seen.dedup();
-        assert_eq!(seen, [0, 1, 2]);
-    }
-
-    #[test]
-    fn another_is_taken_where_there_is_another() {
-        let (pool, mut random) = pool(2);
-        assert!((0..50).all(|_| pool.pick(0, &[0], &mut random) == Some(1)));
-        assert!(pool.has_another(&[0]) && !pool.has_another(&[0, 1]));
-        assert!(pool.pick(0, &[0, 1], &mut random).is_some(), "one that was tried is better than none");
-    }
-
-    #[test]
-    fn full_endpoints_get_nothing() {
-        let (mut pool, mut random) = pool(2);
-        for _ in 0..16 {
-            let place = pool.pick(0, &[], &mut random).expect("a place");
-            pool.start(place);
-        }
-        assert_eq!(pool.pick(0, &[], &mut random), None);
-        pool.end(1, 1, Sample::Silent, None);
-        assert_eq!(pool.pick(1, &[], &mut random), Some(1));
-    }
-
-    #[test]
-    fn endpoints_that_leave_the_file_end_their_calls_and_their_places_are_used_again() {
-        let (mut pool, mut random) = pool(2);
-        pool.start(0);
-        pool.set(5, ROUTE, &["e1".into(), "e2".into()], BOUNDS);
-        assert_eq!(pool.all.len(), 3);
-        assert!((0..50).all(|_| pool.pick(5, &[], &mut random) != Some(0)));
-        pool.end(6, 0, Sample::Answered(5), Some(false));
-        pool.set(7, ROUTE, &["e1".into(), "e3".into()], BOUNDS);
-        assert_eq!(pool.all.len(), 3);
-        let names: Vec<_> = pool.explain().iter().map(|v| v.address.to_string()).collect();
-        assert_eq!(names, ["e3", "e1"]);
-    }
-}
+mod tests;
--- a/crates/dependencies/src/service.rs
+++ b/crates/dependencies/src/service.rs
@@ -144,7 +144,14 @@
     }
 
     /// It is over. `None`: it was given up because nobody waits for it any more, which says nothing.
-    pub fn end(&mut self, now: Micros, endpoint: usize, probe: bool, took: Micros, outcome: Option<Outcome>) {
+    pub fn end(
+        &mut self,
+        now: Micros,
+        (endpoint, probe): (usize, bool),
+        took: Micros,
+        outcome: Option<Outcome>,
+        random: &mut impl Rng,
+    ) {
         let (sample, failed) = match outcome {
             Some(Outcome::Ok) => (Sample::Answered(took), Some(false)),
             // Turned away: crowded, and neither down nor well.
@@ -158,8 +165,8 @@
             self.latency.add(now, took);
         }
         self.limit.end(now, sample);
-        self.pool.end(now, endpoint, sample, failed);
-        self.breaker.end(now, probe, failed);
+        self.pool.end(now, endpoint, sample, failed, random);
+        self.breaker.end(now, probe, failed, (self.config.route.servers, random));
     }
 
     /// Until when an attempt may take that starts now, in a stage that ends at `end`.
--- a/crates/dependencies/tests/engine/properties.rs
+++ b/crates/dependencies/tests/engine/properties.rs
@@ -46,7 +46,7 @@
             endpoint_limit,
             survives,
             breaker: (calls > 1).then_some(Breaker { share: breaker_share, calls, open: 50 * MS }),
-            route: Route { failures, lag: 4.0, out: 30 * MS, out_most, ramp: 100 * MS },
+            route: Route { failures, lag: 4.0, out: 30 * MS, out_most, ramp: 100 * MS, servers: 1 },
             fallbacks,
         }
     }
--- a/crates/operator/src/dependencies.rs
+++ b/crates/operator/src/dependencies.rs
@@ -278,6 +278,7 @@
         out: from.millis("out-ms", unless_set.out),
         out_most: from.number("out-most", unless_set.out_most),
         ramp: from.millis("ramp-ms", unless_set.ramp),
+        servers: unless_set.servers,
     };
     from.done();
     found
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -216,8 +216,11 @@
             up: up_told,
             hint: Hint::default(),
         };
+        let among = (config.settings.servers, config.settings.seed);
         executor.spawn(Agent::new(config.agent, agent_orders, module.clone(), log.clone()).run()).detach();
-        executor.spawn(List::new(config.announce, &config.name, list_words, log.clone()).run()).detach();
+        executor
+            .spawn(List::new(config.announce, &config.name, among, list_words, log.clone()).run())
+            .detach();
         let sockets = Sockets::new(parts.calls);
         if let Some(address) = config.records {
             let to = (Target::records(address), sockets.clone());
@@ -272,6 +275,11 @@
     /// Makes ready what the operator's file asks for: an actor for each dependency. One that is reached as before keeps
     /// its own; those that the file no longer names end with their last call.
     fn wanted(&mut self, operator: Operator) -> Result<Wanted, String> {
+        let mut operator = operator;
+        for dependency in &mut operator.dependencies.dependencies {
+            // The others route to the same endpoints and see them fail and come back when this one does.
+            dependency.route.servers = self.config.settings.servers;
+        }
         let bytes = operator.dependencies.kept.bytes;
         let charge =
             self.budget.take(bytes).ok_or_else(|| format!("no memory for {bytes} bytes of kept results"))?;
--- a/crates/server/src/peers/list.rs
+++ b/crates/server/src/peers/list.rs
@@ -7,6 +7,8 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::{debug, info, Logger};
+use umberloom::interface::Micros;
+use umberloom_dependencies::pace::Pace;
 
 use super::{dependency, stream};
 use crate::exchange::list::Word;
@@ -16,9 +18,12 @@
 pub const MAILBOX: usize = 16;
 /// Time between reports; an entry lapses 3 s after the last.
 const EVERY: Duration = Duration::from_millis(700);
-/// Time for one report, and between a failed one and the next try.
+/// Time for one report.
 const LIMIT: Duration = Duration::from_millis(300);
-const RETRY: Duration = Duration::from_millis(100);
+/// While the service is down all servers together try it so often in so long: it is met by no more when it returns, and
+/// no entry lapses until then. Each server's own tries are drawn, at least one in a second and a half.
+const TRIES: (Micros, f64) = (100_000, 10.0);
+const LONGEST: Micros = 1_050_000;
 /// Reports in a row without an answer after which the service counts as not reached.
 const LOST: u32 = 4;
 
@@ -31,15 +36,26 @@
     accepting: Option<bool>,
     /// Reports in a row that got no answer.
     unheard: u32,
+    /// The word of the last one of these: the service may read it yet, after a newer word.
+    given_up: Option<bool>,
+    /// Of the tries of all servers, those of this one.
+    pace: Pace,
     link: Option<Async<TcpStream>>,
     log: Logger,
 }
 
 impl List {
-    /// Reports of the server `name`.
-    pub fn new(address: SocketAddr, name: &str, words: Receiver<Word>, log: Logger) -> List {
+    /// Reports of the server `name`, one of so many; the seed may be the same for all of them.
+    pub fn new(
+        address: SocketAddr,
+        name: &str,
+        (servers, seed): (u32, u64),
+        words: Receiver<Word>,
+        log: Logger,
+    ) -> List {
         let path = format!("/announce/{name}");
-        List { address, path, words, accepting: None, unheard: 0, link: None, log }
+        let pace = Pace::new(servers, seed, name);
+        List { address, path, words, accepting: None, unheard: 0, given_up: None, pace, link: None, log }
     }
 
     /// Reports steadily from the first word on, and at once when it changes.
@@ -51,23 +67,37 @@
             }
             if let Some(accepting) = self.accepting {
                 let good = stream::within(LIMIT, self.report(accepting)).await.unwrap_or(false);
-                self.judge(good);
+                self.judge(accepting, good);
             }
         }
     }
 
     /// Waits until it is time to report, for a word that comes before that; `None` at the end.
     async fn next_word(&mut self) -> Option<Option<Word>> {
+        let span = self.pause();
         let pause = async {
             if self.accepting.is_none() {
                 return future::pending().await;
             }
-            Timer::after(if self.unheard == 0 { EVERY } else { RETRY }).await;
+            Timer::after(span).await;
             Some(None)
         };
         future::or(async { self.words.recv().await.ok().map(Some) }, pause).await
     }
 
+    /// Time until the next report. One that was given up may still be read, and takes the place of a newer word then: that
+    /// is said again soon.
+    fn pause(&mut self) -> Duration {
+        let overtaken = self.given_up.is_some_and(|word| self.accepting != Some(word));
+        if self.unheard == 0 && !overtaken {
+            return EVERY;
+        }
+        if self.unheard == 0 {
+            self.given_up = None;
+        }
+        Duration::from_micros(self.pace.next_try(TRIES, LONGEST))
+    }
+
     fn heed(&mut self, word: Word) {
         match word {
             Word::Accepting(accepting) => self.accepting = Some(accepting),
@@ -77,9 +107,10 @@
 
     /// A report without an answer may have counted all the same; it is repeated soon, on a connection of its
     /// own, as its reply would be taken for that of the next. Only several in a row are worth a line.
-    fn judge(&mut self, good: bool) {
+    fn judge(&mut self, word: bool, good: bool) {
         if !good {
             self.link = None;
+            self.given_up = Some(word);
         }
         let before = self.unheard;
         self.unheard = if good { 0 } else { before.saturating_add(1) };
@@ -111,3 +142,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/peers/list/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+fn list(name: &str, servers: u32) -> List {
+    let (_, words) = async_channel::bounded(1);
+    let log = Logger::root(slog::Discard, slog::o!());
+    let mut list = List::new(([127, 0, 0, 1], 1).into(), name, (servers, 7), words, log);
+    list.accepting = Some(true);
+    list
+}
+
+/// Guards against servers that all try a list that is down every 100 ms in step, and all at once when it returns: with the
+/// same seed in all their settings each has draws of its own.
+#[test]
+fn servers_that_lost_the_list_at_one_moment_do_not_try_it_in_step() {
+    for servers in [1, 6, 20, 30] {
+        let mut tries: Vec<Duration> = Vec::new();
+        for n in 0..servers {
+            let mut list = list(&format!("n{n}"), servers);
+            list.judge(true, false);
+            let mut at = Duration::ZERO;
+            while at < Duration::from_secs(30) {
+                at += list.pause();
+                tries.push(at);
+            }
+        }
+        let window = Duration::from_micros(TRIES.0);
+        let within =
+            |from: &Duration| tries.iter().filter(|at| (*from..*from + window).contains(*at)).count();
+        let most = tries.iter().map(within).max().unwrap_or(0) as f64;
+        assert!(most <= TRIES.1 + 2.0 * TRIES.1.sqrt() + 2.0, "{servers}: {most}");
+    }
+    // At any size an entry is renewed well before it would lapse.
+    let mut large = list("n0", 300);
+    large.judge(true, false);
+    assert!((0..1_000).all(|_| large.pause() <= Duration::from_micros(LONGEST)));
+}
+
+/// Guards against a list on which a server that leaves takes work: the report of before was given up, and is read after the
+/// newer one.
+#[test]
+fn a_word_that_may_be_overtaken_is_said_again_soon() {
+    let mut list = list("n0", 1);
+    list.judge(true, true);
+    assert_eq!(list.pause(), EVERY);
+    list.judge(true, false);
+    list.accepting = Some(false);
+    list.judge(false, true);
+    assert!(list.pause() < EVERY / 2);
+    list.judge(false, true);
+    assert_eq!(list.pause(), EVERY);
+    // The same word can't be overtaken by itself.
+    list.judge(false, false);
+    list.judge(false, true);
+    assert_eq!(list.pause(), EVERY);
+}
