Probes and calls of a share under one keep to the sum over servers; rare moments tested

Read: all servers lose what they call at one moment. Each then probed it every 100 ms in step (choice.rs called, serve_call), and after a start or an outage each made calls back to back until its mean over the window was used: 12 servers with a share of 5 / 12 had 12 calls in hand (tests/shared.rs, before the change). Change: the next probe is drawn, its mean by the share; where one call is more than the share, calls are as far apart as probes are. Settings that give N: `dep_share` x servers. Tests: tests/shared.rs at 1 to 30 servers and N from 1 to 100, fleet_calls.rs with 24 processes on a stand-in that counts. races.rs: calls on a kept connection that closes at that moment, repeats that meet the end of their first try, notices before the agent, twice and while starting, requests and replies cut at any byte, floods.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -43,6 +43,8 @@
     pub fleet: SocketAddr,
     pub farm: Farm,
     pub records: Dependency,
+    /// Fields of its configuration that differ from the usual, by their places.
+    pub given: Vec<(&'static str, Value)>,
     _announce: Announce,
     pub folder: PathBuf,
     program: PathBuf,
@@ -78,6 +80,7 @@
             fleet: free_address(host, 12_080)?,
             farm: Farm::start(work),
             records: Dependency::start(Behaviour::quick(b"booked")),
+            given: Vec::new(),
             _announce: Announce::start(),
             folder,
             program: program.to_owned(),
@@ -96,7 +99,7 @@
             json!({"name": name, "aim_us": budget * 1_000, "hard_limit_us": budget * 1_000, "credit": worth,
                    "late_worth": 0.0, "effect": "read_like", "repeat_window_us": 5_000_000})
         };
-        json!({
+        let mut config = json!({
             "name": self.name, "listen": self.listen, "agent": self.farm.address,
             "announce": self._announce.address, "records": self.records.address,
             "seed": format!("8c1f30d27a5b{:04x}", self.starts), "stop_ms": 2_000,
@@ -116,7 +119,11 @@
                 "over_share_worth": 0.1, "prices": {"handshake": 0.02}, "realms": [], "servers": 1,
                 "tick_us": 4_000, "tier": 0
             }
-        })
+        });
+        for (place, value) in &self.given {
+            *config.pointer_mut(place).expect("a field of the configuration") = value.clone();
+        }
+        config
     }
 
     pub fn operator_file(&self) -> PathBuf {
--- /dev/null
+++ b/crates/server/tests/fleet_calls.rs
@@ -0,0 +1,65 @@
+//! Twenty-four processes that do not know each other call one service, on which a stand-in counts.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{program, rest};
+use serde_json::json;
+use umberloom_rig::history::History;
+use umberloom_rig::server::Server;
+use umberloom_rig::traffic::Traffic;
+use umberloom_standins::dependency::Behaviour;
+use umberloom_standins::Dependency;
+
+const SERVERS: usize = 24;
+/// Calls at once that the service survives, of all servers: less than one for each.
+const WHOLE: f64 = 12.0;
+
+/// Calls of all servers while `span` passes, and what the budget allows for as long as that took: N in each 100 ms, as a call
+/// counts for as long at least, and 2 x root of N + 2 for chance. Servers wait by their own clocks between calls, so that a
+/// machine that is slow makes it fewer.
+fn counted(service: &Dependency, span: Duration) -> (f64, f64) {
+    service.take_counts();
+    let began = Instant::now();
+    rest(span.as_millis() as u64);
+    let calls = service.take_counts().0 as f64;
+    let budget = WHOLE * (began.elapsed().as_secs_f64() / 0.1);
+    (calls, budget + 2.0 * budget.sqrt() + 2.0)
+}
+
+#[test]
+fn probes_and_first_calls_of_24_processes_stay_within_what_the_service_survives() {
+    let folder = std::env::temp_dir().join(format!("umberloom-calls-{}", std::process::id()));
+    let service = Dependency::start(Behaviour::quick(b"booked"));
+    let mut servers: Vec<Server> = (0..SERVERS)
+        .map(|n| {
+            let mut server =
+                Server::new(&format!("n{n}"), program(), &folder, History::default()).expect("a place");
+            server.given = vec![
+                ("/records", json!(service.address)),
+                ("/seed", json!(format!("8c1f30d27a5b{n:04x}"))),
+                ("/settings/servers", json!(SERVERS)),
+                ("/settings/family_info/dep_share", json!(WHOLE / SERVERS as f64)),
+            ];
+            server
+        })
+        .collect();
+    servers.iter_mut().for_each(|server| server.start().expect("a process"));
+    servers.iter_mut().for_each(|server| server.wait_until_well().expect("well"));
+    let at: Vec<_> = servers.iter().map(|server| (server.listen, server.farm.over())).collect();
+    let traffic = Traffic::start(&at, 2, Duration::from_millis(10));
+    // First calls after a start; then all lose the service at one moment, and find it back.
+    let (calls, most) = counted(&service, Duration::from_secs(2));
+    assert!(calls > 0.0 && calls <= most, "{calls} first calls, {most} allowed");
+    service.behave(Behaviour::failing());
+    let (calls, most) = counted(&service, Duration::from_secs(4));
+    assert!(calls > 0.0 && calls <= most, "{calls} calls while it was down, {most} allowed");
+    service.behave(Behaviour::quick(b"booked"));
+    let (calls, most) = counted(&service, Duration::from_secs(3));
+    assert!(calls > 0.0 && calls <= most, "{calls} calls after it returned, {most} allowed");
+    drop(traffic);
+    assert!(servers.iter_mut().all(|server| !server.has_crashed()));
+    servers.iter_mut().for_each(Server::kill);
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -3,10 +3,14 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::os::unix::process::ExitStatusExt;
 use std::process::Command;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use serde_json::{json, Value};
+
 use common::{eventually, Announce, Balancer, Request, World, PATIENCE};
 
 /// Leaves the running server no descriptor beyond those that it holds, and says how many that are.
@@ -147,3 +151,225 @@
     }
     assert!(in_time >= 27, "{in_time} of 30");
 }
+
+/// A class whose runs must not take effect twice and can't go on without their call, and one that may be repeated.
+fn effects(config: &mut Value) {
+    config["stop_ms"] = 3_000.into();
+    config["settings"]["family_info"]["class_skip_worth"] = json!([0.0, 0.0, 0.0]);
+    config["settings"]["family_info"]["class_calls"] = json!([true, true, true]);
+    config["settings"]["classes"][1]["effect"] = "non_idempotent".into();
+    config["settings"]["classes"][2]["effect"] = "idempotency_key".into();
+}
+
+/// A request of one of these classes.
+fn of_class(slot: u16, id: &str, class: &str) -> Request {
+    Request::new(slot, id).with("SCRIPT_NAME", &format!("/svc/{class}")).with("HTTP_ONCE_KEY", id)
+}
+
+/// Guards against an effect that is had twice: a kept connection to records is closed in the moment in which the next call
+/// is on it. What may not be repeated is not called again, what may is.
+#[test]
+fn a_call_on_a_kept_connection_that_is_closed_at_that_moment_is_repeated_only_where_it_may_be() {
+    let mut world = World::up(effects);
+    let mut balancer = world.balancer();
+    for class in ["book", "room", "search"] {
+        balancer.send(&of_class(1, class, class));
+        assert_eq!(world.agent.expect("launch").0, class);
+        world.agent.needs_call(class, b"first");
+        world.records.call().reply("200 OK", "", b"y");
+        assert_eq!(world.agent.expect("deliver").0, class);
+        // The next call comes on the same connection, is read whole, and gets no word.
+        world.agent.needs_call(class, b"second");
+        let call = world.records.call();
+        assert_eq!(call.request.header("Op-Of"), class);
+        call.stream.shutdown(Shutdown::Both).expect("closed");
+        if class == "search" {
+            world.records.call().reply("200 OK", "", b"z");
+            assert_eq!(world.agent.expect("deliver").0, class);
+            world.agent.outcome(class, "fine", b"r");
+            assert_eq!(balancer.answer().status, 200);
+        } else {
+            // Had it been called again, that call would come before the next class's.
+            assert_eq!(balancer.answer().status, 500, "{class}");
+        }
+    }
+    assert!(world.is_alive());
+}
+
+/// Guards against a second run of a keyed request: its repeat comes on another connection in the moment in which the first
+/// try ends, before or after the end is read, and when its caller is gone.
+#[test]
+fn a_repeat_that_meets_the_end_of_its_first_try_gets_its_result_and_runs_nothing() {
+    let mut world = World::up(effects);
+    for round in 0..6 {
+        let id = format!("first{round}");
+        let first = of_class(1, &id, "room");
+        let again = of_class(1, &format!("again{round}"), "room").with("HTTP_ONCE_KEY", &id);
+        let (mut one, mut other) = (world.balancer(), world.balancer());
+        one.send(&first);
+        assert_eq!(world.agent.expect("launch").0, id);
+        match round % 3 {
+            0 => {
+                // While the server stands still both lie unread, the end first.
+                world.signal("STOP");
+                world.agent.outcome(&id, "fine", b"once");
+                other.send(&again);
+                world.signal("CONT");
+            }
+            1 => {
+                world.signal("STOP");
+                other.send(&again);
+                world.agent.outcome(&id, "fine", b"once");
+                world.signal("CONT");
+            }
+            _ => {
+                // Its caller leaves in the moment of its answer; the effect was had all the same.
+                drop(one);
+                world.agent.outcome(&id, "fine", b"once");
+                other.send(&again);
+                let answer = other.answer();
+                assert!(answer.body == b"once" || answer.status == 500, "{answer:?}");
+                continue;
+            }
+        }
+        assert_eq!(one.answer().body, b"once");
+        assert_eq!(other.answer().body, b"once");
+    }
+    // Nothing was launched but the first tries: the next command but stops is another request's.
+    let mut balancer = world.balancer();
+    balancer.send(&of_class(1, "last", "search"));
+    let mut next = world.agent.command();
+    while next["op"] == "freeze" {
+        next = world.agent.command();
+    }
+    assert_eq!((&next["op"], &next["id"]), (&json!("launch"), &json!("last")));
+}
+
+/// Guards against callers sent to a server that leaves, and against a grace that begins with the greeting: the notice comes
+/// before the agent is up.
+#[test]
+fn a_notice_before_the_agent_is_up_is_never_followed_by_a_word_that_work_is_taken() {
+    let mut world = World::start(|config| {
+        config["stop_ms"] = 2_000.into();
+        config["settings"]["guarantees"]["drain_grace_us"] = 100_000.into();
+    });
+    world.agent.linked();
+    world.terminate();
+    eventually("the notice", || world.log().contains("to: Leaving").then_some(()));
+    std::thread::sleep(Duration::from_millis(150));
+    world.agent.greet_again();
+    assert_eq!(world.announce.report(), "false");
+    let mut balancer = world.balancer();
+    // It reached the machine after the grace, which began with the notice: nothing runs.
+    assert_eq!(balancer.ask(&Request::new(1, "late")).status, 503);
+    assert!(world.ended().success());
+}
+
+/// Notices that come twice, between two others, or while the program starts: it ends once and in order, or it never served.
+#[test]
+fn notices_at_any_moment_end_it_once_and_in_order() {
+    let mut world = World::up(|config| config["stop_ms"] = 1_500.into());
+    let mut balancer = world.running("a");
+    world.reconfigure(|config| config["records"] = "127.0.0.1:9".into());
+    world.terminate();
+    world.reconfigure(|config| config["announce"] = "127.0.0.1:9".into());
+    world.terminate();
+    world.signal("INT");
+    world.agent.outcome("a", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert!(world.ended().success());
+    for wait in [0, 1, 2, 4, 8, 16, 32] {
+        world.restart();
+        std::thread::sleep(Duration::from_millis(wait));
+        world.terminate();
+        let ended = world.ended();
+        assert!(ended.success() || ended.signal() == Some(15), "{wait}: {ended}");
+    }
+}
+
+/// A connection that ends at any byte of a request, by an end or by a reset, and one whose bytes come one by one: its
+/// neighbour and the server see nothing of it.
+#[test]
+fn a_request_cut_at_any_byte_costs_its_connection_only() {
+    let mut world = World::up(|_| ());
+    let mut neighbour = world.running("neighbour");
+    let bytes = Request::check(7, "").bytes();
+    for cut in 0..bytes.len() {
+        let mut stream = TcpStream::connect(world.listen).expect("connected");
+        stream.write_all(&bytes[..cut]).expect("written");
+        if cut % 2 == 0 {
+            stream.shutdown(Shutdown::Write).expect("ended");
+            assert_eq!(rest(&mut stream), b"", "{cut}");
+        }
+    }
+    let mut slow = world.balancer();
+    for byte in &bytes {
+        slow.send_bytes(std::slice::from_ref(byte));
+    }
+    assert_eq!(slow.answer().status, 200);
+    world.agent.outcome("neighbour", "fine", b"r");
+    assert_eq!(neighbour.answer().body, b"r");
+    assert!(world.is_alive());
+}
+
+/// A reply of records that breaks off at any byte is no reply, and the run goes on without it or is called for again.
+#[test]
+fn a_reply_cut_at_any_byte_is_never_delivered() {
+    let mut world = World::up(|_| ());
+    let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes";
+    let mut balancer = world.balancer();
+    for cut in (0..reply.len()).step_by(3) {
+        let id = format!("cut{cut}");
+        balancer.send(&Request::new(1, &id));
+        assert_eq!(world.agent.expect("launch").0, id);
+        world.agent.needs_call(&id, b"x");
+        let mut call = world.records.call();
+        call.stream.write_all(&reply[..cut]).expect("written");
+        call.stream.shutdown(Shutdown::Both).expect("closed");
+        let mut whole = world.records.call();
+        whole.reply("200 OK", "", b"whole");
+        let (of, command) = world.agent.expect("deliver");
+        let body = common::balancer::base64(b"whole");
+        assert_eq!((of, command["body"].as_str()), (id.clone(), Some(body.as_str())));
+        world.agent.outcome(&id, "fine", b"r");
+        assert_eq!(balancer.answer().status, 200);
+    }
+}
+
+/// A flood on one connection and one on many: who asks in turn beside them is served.
+#[test]
+fn floods_on_one_connection_and_on_many_keep_nobody_out() {
+    let mut world = World::up(|config| config["limits"]["sockets"] = 128.into());
+    let mut usual = world.balancer();
+    assert_eq!(usual.ask(&Request::check(1, "")).status, 200);
+    let one = TcpStream::connect(world.listen).expect("connected");
+    let flood: Vec<u8> = (1..=32).flat_map(|slot| Request::check(slot, "").bytes()).collect();
+    let (listen, over) = (world.listen, std::sync::atomic::AtomicBool::new(false));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let (mut writer, mut sink) = (&one, [0; 4096]);
+            one.set_read_timeout(Some(Duration::from_millis(50))).expect("a time limit");
+            for _ in 0..2_000 {
+                if over.load(Ordering::Relaxed) || writer.write_all(&flood).is_err() {
+                    return;
+                }
+                let _ = (&one).read(&mut sink);
+            }
+        });
+        scope.spawn(|| {
+            for _ in 0..2_000 {
+                if over.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(mut stream) = TcpStream::connect(listen) {
+                    let _ = stream.write_all(&flood);
+                }
+            }
+        });
+        for slot in 1..=50 {
+            assert_eq!(usual.ask(&Request::check(slot, "")).status, 200);
+        }
+        over.store(true, Ordering::Relaxed);
+    });
+    assert!(world.descriptors() <= 128 && world.is_alive());
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,7 @@
 //! a limit on running requests that climbs towards more completions. All else here is a guard.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::interface::{
     Action, Arrival, BadSettings, Below, Class, Effect, Event, Gauges, Halt, Micros, Outcome, RequestId,
@@ -253,7 +254,7 @@
         let mut worths: Vec<f64> = set.classes.iter().map(|c| c.worth).collect();
         worths.sort_by(f64::total_cmp);
         let limit = Limit { slots: set.cores as usize, step: -1, done: 0, before: 0.0 };
-        Ok(Server {
+        let server = Server {
             born: now,
             next: 0,
             all: BTreeMap::new(),
@@ -278,7 +279,9 @@
             awake: false,
             idle: set.idle_max,
             set,
-        })
+        };
+        let probe_at = server.next_probe(now);
+        Ok(Server { calls: Calls { probe_at, ..server.calls }, ..server })
     }
 
     /// Takes in what happened and adds what is to be done about it.
@@ -840,7 +843,18 @@
         // What turns calls away is crowded, not down, and of several services one that failed is not all:
         // each is tried again by itself, the others go on.
         self.calls.failures += u32::from(!matches!(outcome, Outcome::Refused | Outcome::Stopped));
-        self.calls.probe_at = now + PROBE_EVERY;
+        self.calls.probe_at = self.next_probe(now);
+    }
+
+    /// When what lies below is tried again. All servers lose it at one moment, and none knows more of the others than its own
+    /// share of what it survives: together they try it no oftener than that allows, each at times of its own.
+    fn next_probe(&self, now: Micros) -> Micros {
+        let share = if self.set.below == Below::Common { self.set.call_share * SAFE_SHARE } else { 1.0 };
+        let lasts = self.calls.typical.unwrap_or(0.0).max(PROBE_EVERY as f64);
+        let every = (lasts / if share < 1.0 { share / 2.0 } else { 1.0 }).min(self.set.call_window as f64);
+        let mut draw = DefaultHasher::new();
+        (self.set.seed, self.next, now).hash(&mut draw);
+        now + (every * (0.5 + draw.finish() as f64 / u64::MAX as f64)) as Micros
     }
 
     fn serve_calls(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -852,7 +866,12 @@
     fn serve_call(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let time = self.call_time();
         let down = self.calls.failures >= CALL_TRIES && now < self.calls.probe_at;
+        // Servers that start or find it back together have nothing in the mean yet that would keep them apart: where one
+        // call is more than the share, its calls are as far apart as probes are.
+        let small = self.set.below == Below::Common && self.set.call_share * SAFE_SHARE < 1.0;
+        let early = small && now < self.calls.probe_at;
         let typical = self.calls.typical.unwrap_or(0.0) as Micros;
+        let next_probe = self.next_probe(now);
         // After the call there is work to do yet.
         let rest = self.all.get(&seq).map_or(0.0, |r| self.expected(r) * START_AT) as Micros;
         let Some(r) = self.all.get_mut(&seq) else { return };
@@ -867,11 +886,11 @@
             out.push(Action::SkipCall(r.id.clone()));
         } else if hopeless {
             self.give_up(now, seq, out);
-        } else if time > typical && !down && matches!(r.stage, Stage::AtCall(from) if now >= from) {
+        } else if time > typical && !down && !early && matches!(r.stage, Stage::AtCall(from) if now >= from) {
             r.stage = Stage::Calling;
             r.call_tries += 1;
-            if self.calls.failures >= CALL_TRIES {
-                self.calls.probe_at = now + PROBE_EVERY;
+            if small || self.calls.failures >= CALL_TRIES {
+                self.calls.probe_at = next_probe;
             }
             // One that never comes back must leave time for another, or for the run to go on without.
             let half = until.saturating_sub(now + rest) / 2;
--- /dev/null
+++ b/tests/shared.rs
@@ -0,0 +1,102 @@
+//! What many servers that do not talk send together to what they all call.
+
+mod common;
+use common::*;
+use std::collections::VecDeque;
+use umberloom::interface::*;
+use umberloom::Server;
+
+/// A server with its part of the `whole` calls that what they all call survives.
+fn server(number: u32, servers: u32, whole: f64) -> Server {
+    let mut set = settings();
+    set.classes.iter_mut().for_each(|c| {
+        (c.calls, c.skip_worth) = (true, 0.0);
+        (c.aim, c.deadline) = (100 * SEC, 100 * SEC);
+    });
+    (set.below, set.call_share, set.seed) = (Below::Common, whole / f64::from(servers), u64::from(number));
+    (set.servers, set.memory_kb) = (servers, 1e9);
+    Server::new(0, set).expect("sound settings")
+}
+
+/// A fleet of which each server always has requests at a call.
+struct Fleet {
+    all: Vec<Server>,
+    /// Calls under way, in the order in which they end: when, whose, and which.
+    under_way: VecDeque<(Micros, usize, RequestId)>,
+    begun: VecDeque<Micros>,
+    last: Micros,
+    next: u64,
+}
+
+impl Fleet {
+    fn new(servers: u32, whole: f64) -> Fleet {
+        let all = (0..servers).map(|n| server(n, servers, whole)).collect();
+        Fleet { all, under_way: VecDeque::new(), begun: VecDeque::new(), last: 0, next: 0 }
+    }
+
+    /// One step of all servers, with the ends of calls that take so long and end so.
+    fn step(&mut self, now: Micros, took: Micros, outcome: Outcome) {
+        let mut events: Vec<Vec<Event>> = self.all.iter().map(|_| vec![busy()]).collect();
+        while self.under_way.front().is_some_and(|(end, ..)| *end <= now) {
+            let (_, n, name) = self.under_way.pop_front().expect("one");
+            events[n].push(Event::Called(name.clone(), outcome, took));
+            if outcome == Outcome::Ok {
+                events[n].push(Event::Ended(name, Outcome::Ok, took));
+            }
+        }
+        for (n, mut events) in events.into_iter().enumerate() {
+            if now.is_multiple_of(20 * MS) {
+                self.next += 1;
+                events.push(Event::Arrived(arrival(&format!("r{}", self.next), 0, 100 * SEC)));
+            }
+            // What an action brings about is told at once.
+            while !events.is_empty() {
+                let out = step(&mut self.all[n], now, std::mem::take(&mut events));
+                for action in out {
+                    match action {
+                        Action::Admit(name) => events.push(Event::NeedsCall(name)),
+                        // A run at a call ends with its request, one that is stopped as it is told.
+                        Action::Halt(name) | Action::Fail(name) => {
+                            events.push(Event::Ended(name, Outcome::Stopped, 0));
+                        }
+                        Action::Call(name, _) => {
+                            self.under_way.push_back((now + took, n, name));
+                            self.begun.push_back(now);
+                            self.last = now;
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Before a call has come back, while what they call is down and when it returns, the sum of all servers stays within the N
+/// calls that it survives and 2 x root of N + 2 for chance, at 1 to 30 servers. Down is 3 s in which each call fails at once;
+/// then calls take 100 ms. Tries of 100 ms count together, as a call would last so long.
+#[test]
+fn probes_and_first_calls_of_all_servers_stay_within_what_is_survived() {
+    for (servers, whole) in [1, 2, 5, 12, 20, 24, 30]
+        .into_iter()
+        .flat_map(|servers| [1.0, 2.0, 5.0, 10.0, 30.0, 100.0].map(|whole| (servers, whole)))
+    {
+        let most = whole + 2.0 * f64::sqrt(whole) + 2.0;
+        let mut fleet = Fleet::new(servers, whole);
+        for now in (0..6 * SEC).step_by(5 * MS as usize) {
+            let down = (SEC..4 * SEC).contains(&now);
+            let (took, outcome) = if down { (5 * MS, Outcome::Unreachable) } else { (100 * MS, Outcome::Ok) };
+            fleet.step(now, took, outcome);
+            while fleet.begun.front().is_some_and(|at| at + 100 * MS <= now) {
+                fleet.begun.pop_front();
+            }
+            // The tries by which each server learns that it is down are three, and end at once.
+            let learns = (SEC..SEC + 500 * MS).contains(&now);
+            let together = if learns { 0 } else { fleet.begun.len() };
+            assert!(together as f64 <= most, "{servers} servers, {together} of {whole} at {now}");
+        }
+        // A share so small that a single call that hangs would be more than it in the mean is not used at all.
+        let usable = whole / f64::from(servers) > 0.2;
+        assert!(!usable || fleet.last > 4 * SEC, "{servers} servers, {whole}: calls are made again");
+    }
+}
