Closing takes its time after a standstill over the end; accept errors told once a second

Read: phase.rs next_at made closing and ending due at one moment where the process stood still over the last 350 ms of its drain: it ended before the front had looked at what lay unread, though nobody had stopped it. Where the stop has passed when closing begins, closing takes 100 ms now. Tests: the phase by itself, and a process that is stopped by SIGSTOP over its end with a request unread on a connection and one in the backlog. Seen: under a limit of the system lower than the configured one `not accepted` was logged 50 times a second; once now. The wait for a place in the test of idle clients had no bound of its own on a read: 5 s.

--- a/crates/server/src/lifecycle/phase.rs
+++ b/crates/server/src/lifecycle/phase.rs
@@ -33,6 +33,8 @@
     phase: Phase,
     /// When the process is stopped, once that is known.
     stop: Option<Micros>,
+    /// Closing goes on until then at least, after a standstill.
+    closes_until: Micros,
     log: Logger,
 }
 
@@ -40,11 +42,14 @@
 const CLOSE_BEFORE: Micros = 350_000;
 /// Before the stop, the process has ended for so long.
 const END_BEFORE: Micros = 15_000;
+/// But where the stop has passed already, as after a standstill, closing takes so long: what lay unread meanwhile is to be
+/// answered as long as nobody stops the process.
+const CLOSE_LEAST: Micros = 100_000;
 
 impl Life {
     /// A program that starts.
     pub fn new(log: Logger) -> Life {
-        Life { phase: Phase::Starting, stop: None, log }
+        Life { phase: Phase::Starting, stop: None, closes_until: 0, log }
     }
 
     /// Goes on to a later phase; an earlier one is passed over.
@@ -70,7 +75,7 @@
         let stop = self.stop?;
         match self.phase {
             Phase::Leaving => Some(stop.saturating_sub(CLOSE_BEFORE)),
-            Phase::Closing => Some(stop.saturating_sub(END_BEFORE)),
+            Phase::Closing => Some(stop.saturating_sub(END_BEFORE).max(self.closes_until)),
             _ => None,
         }
     }
@@ -79,7 +84,13 @@
     pub fn pass(&mut self, now: Micros) -> bool {
         let due = self.next_at().is_some_and(|at| now >= at);
         if due {
-            self.enter(if self.phase == Phase::Leaving { Phase::Closing } else { Phase::Ended });
+            if self.phase == Phase::Leaving {
+                let past = self.stop.is_some_and(|stop| now > stop);
+                self.closes_until = if past { now + CLOSE_LEAST } else { 0 };
+                self.enter(Phase::Closing);
+            } else {
+                self.enter(Phase::Ended);
+            }
         }
         due
     }
--- a/crates/server/src/lifecycle/phase/tests.rs
+++ b/crates/server/src/lifecycle/phase/tests.rs
@@ -22,3 +22,15 @@
     assert!(life.pass(1_000_000) && life.pass(1_000_000));
     assert_eq!(life.phase(), Phase::Ended);
 }
+
+/// Guards against an exit without an answer to what lay unread during a standstill over the end: closing and ending were
+/// due at once then.
+#[test]
+fn closing_takes_its_time_after_a_standstill() {
+    let mut life = Life::new(Logger::root(slog::Discard, slog::o!()));
+    assert!(life.leave(0, 1_000_000));
+    assert!(life.pass(5_000_000));
+    assert_eq!((life.phase(), life.next_at()), (Phase::Closing, Some(5_000_000 + CLOSE_LEAST)));
+    assert!(!life.pass(5_000_000) && life.pass(5_000_000 + CLOSE_LEAST));
+    assert_eq!(life.phase(), Phase::Ended);
+}
--- a/crates/server/src/peers/front.rs
+++ b/crates/server/src/peers/front.rs
@@ -1,6 +1,6 @@
 //! The listening socket, and the connections that came from it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
@@ -85,6 +85,8 @@
     /// When idle connections are looked for next, whatever else happens.
     look_at: Instant,
     full: Rare,
+    /// Nothing could be accepted.
+    short: RefCell<Rare>,
     log: Logger,
 }
 
@@ -112,6 +114,7 @@
             over,
             look_at: Instant::now() + LOOK_EVERY,
             full: Rare::default(),
+            short: RefCell::default(),
             log,
         }
     }
@@ -181,7 +184,7 @@
                 // The peer has left already.
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    warn!(self.log, "not accepted"; "why" => %e);
+                    self.tell_short(&e);
                     Timer::after(RETRY).await;
                 }
             }
@@ -242,6 +245,12 @@
         }
     }
 
+    fn tell_short(&self, why: &std::io::Error) {
+        if let Some(more) = self.short.borrow_mut().tell(Instant::now()) {
+            warn!(self.log, "not accepted"; "why" => %why, "not_told" => more);
+        }
+    }
+
     fn close_idle(&self) {
         let now = self.shared.clock.now();
         for id in self.places.to_close(now, &[self.idle], &self.seen()) {
@@ -278,7 +287,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(e) => {
-                    warn!(self.log, "not accepted"; "why" => %e);
+                    self.tell_short(&e);
                     self.listener = Async::new_nonblocking(listener).ok();
                     return;
                 }
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -75,6 +75,7 @@
     // One that comes after them is served within the usual patience, if not at the first try: places are kept free.
     eventually("a place", || {
         let mut late = Balancer::tolerant(TcpStream::connect(world.listen).expect("connected"));
+        late.stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time limit");
         late.stream.write_all(&Request::check(1, "").bytes()).ok()?;
         late.try_answer().filter(|answer| answer.status == 200)
     });
@@ -373,3 +374,26 @@
     });
     assert!(world.descriptors() <= 128 && world.is_alive());
 }
+
+/// Guards against an exit at the end of a standstill: the moment of the stop has passed by the clock, nobody has stopped the
+/// process, and requests lie unread on a connection and in the backlog.
+#[test]
+fn what_lies_unread_after_a_standstill_over_the_end_is_answered() {
+    let mut world = World::up(|config| config["stop_ms"] = 1_000.into());
+    let mut idle = world.balancer();
+    assert_eq!(idle.ask(&Request::check(1, "")).status, 200);
+    world.terminate();
+    eventually("the notice", || world.log().contains("to: Leaving").then_some(()));
+    world.signal("STOP");
+    idle.send(&Request::new(2, "unread"));
+    let mut waiting = world.balancer();
+    waiting.send(&Request::new(1, "waiting"));
+    std::thread::sleep(Duration::from_millis(1_200));
+    world.signal("CONT");
+    for balancer in [&mut idle, &mut waiting] {
+        let answer = balancer.answer();
+        assert!(answer.protocol_status == 2 || matches!(answer.status, 500 | 503), "{answer:?}");
+        assert_eq!(balancer.try_answer(), None);
+    }
+    assert!(world.ended().success());
+}
