Calls of a small share are spaced only after a start or a failure, by what they take

At fault: next_probe took 100 ms for each call and spaced them at all times, so that a share just under one, as on grown fleets, was used for a fraction. Now calls count for as long as they typically take, only probes for 100 ms at least, and the spacing lasts one window after a start or a failed call, until the mean keeps servers apart by itself.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -142,6 +142,9 @@
     spurned: bool,
     failures: u32,
     probe_at: Micros,
+    /// Until then a share of less than one call is kept call by call: the server started, or one failed, a
+    /// short while ago.
+    eased_until: Micros,
     /// Ends of calls given up that the dependency may still hold.
     lingering: Vec<Micros>,
     /// Mean number in hand, and when it was last brought up to date.
@@ -264,7 +267,12 @@
             worths,
             limit,
             crowding: 0.0,
-            calls: Calls { seen: now, bound: set.call_share * SAFE_SHARE, ..Calls::default() },
+            calls: Calls {
+                seen: now,
+                bound: set.call_share * SAFE_SHARE,
+                eased_until: now + set.call_window,
+                ..Calls::default()
+            },
             pace: vec![None; set.classes.len()],
             line: Line::default(),
             health: Health::default(),
@@ -842,15 +850,20 @@
         }
         // What turns calls away is crowded, not down, and of several services one that failed is not all:
         // each is tried again by itself, the others go on.
-        self.calls.failures += u32::from(!matches!(outcome, Outcome::Refused | Outcome::Stopped));
+        if !matches!(outcome, Outcome::Refused | Outcome::Stopped) {
+            self.calls.failures += 1;
+            self.calls.eased_until = now + self.set.call_window;
+        }
         self.calls.probe_at = self.next_probe(now);
     }
 
-    /// When what lies below is tried again. All servers lose it at one moment, and none knows more of the others than its own
-    /// share of what it survives: together they try it no oftener than that allows, each at times of its own.
+    /// When what lies below is tried again. All servers lose it at one moment, and none knows more of the
+    /// others than its own share of what it survives: together they try it no oftener than that allows, each
+    /// at times of its own.
     fn next_probe(&self, now: Micros) -> Micros {
         let share = if self.set.below == Below::Common { self.set.call_share * SAFE_SHARE } else { 1.0 };
-        let lasts = self.calls.typical.unwrap_or(0.0).max(PROBE_EVERY as f64);
+        let least = if self.calls.failures >= CALL_TRIES { PROBE_EVERY } else { 0 };
+        let lasts = self.calls.typical.map_or(PROBE_EVERY as f64, |typical| typical.max(least as f64));
         let every = (lasts / if share < 1.0 { share / 2.0 } else { 1.0 }).min(self.set.call_window as f64);
         let mut draw = DefaultHasher::new();
         (self.set.seed, self.next, now).hash(&mut draw);
@@ -866,10 +879,10 @@
     fn serve_call(&mut self, now: Micros, seq: u64, out: &mut Vec<Action>) {
         let time = self.call_time();
         let down = self.calls.failures >= CALL_TRIES && now < self.calls.probe_at;
-        // Servers that start or find it back together have nothing in the mean yet that would keep them apart: where one
-        // call is more than the share, its calls are as far apart as probes are.
-        let small = self.set.below == Below::Common && self.set.call_share * SAFE_SHARE < 1.0;
-        let early = small && now < self.calls.probe_at;
+        // Servers that start or find it back together have nothing in the mean yet that would keep them
+        // apart: where one call is more than the share, calls are as far apart as it asks until they have.
+        let eased = self.set.call_share * SAFE_SHARE < 1.0 && now < self.calls.eased_until;
+        let early = eased && self.set.below == Below::Common && now < self.calls.probe_at;
         let typical = self.calls.typical.unwrap_or(0.0) as Micros;
         let next_probe = self.next_probe(now);
         // After the call there is work to do yet.
@@ -889,7 +902,7 @@
         } else if time > typical && !down && !early && matches!(r.stage, Stage::AtCall(from) if now >= from) {
             r.stage = Stage::Calling;
             r.call_tries += 1;
-            if small || self.calls.failures >= CALL_TRIES {
+            if eased || self.calls.failures >= CALL_TRIES {
                 self.calls.probe_at = next_probe;
             }
             // One that never comes back must leave time for another, or for the run to go on without.
