A notice to drain is told as it is at the step, however long the process stood still

Ruled out: closing too short (longer closing only hid it), the backlog (its request was answered at once), starvation. At fault: module.rs took the notice as a span, and made the event from it when it was taken in; between the notice, that and the step (up to a tick later) the process stood still, so that the decisions took the stop for 1.2 s later than it was. Closing after a standstill may take 0.5 s; it ends sooner once all connections have.

--- a/crates/server/src/exchange/mod.rs
+++ b/crates/server/src/exchange/mod.rs
@@ -58,6 +58,12 @@
     Operator(Box<Wanted>),
     /// News of the fleet.
     Fleet(fleet::News),
-    /// Notice to drain: the process is stopped after this span.
-    Leave(Micros),
+    /// Notice to drain: when it came, and when the process is stopped. Moments, not spans: the process may stand still
+    /// before this is taken.
+    Leave {
+        /// When the notice came.
+        noticed_at: Micros,
+        /// When the process is stopped.
+        stop_at: Micros,
+    },
 }
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -319,11 +319,14 @@
                 Next::Up => life.enter(Phase::Serving),
                 Next::Notice(Notice::Reload) => self.reload().await,
                 Next::Notice(Notice::Leave) => {
-                    let stop = self.config.stop;
-                    if life.leave(self.clock.now(), stop) {
+                    let (noticed_at, stop) = (self.clock.now(), self.config.stop);
+                    if life.leave(noticed_at, stop) {
                         // Before the drain begins, and without waiting for it: the others hear that this one leaves.
                         self.tell_fleet(to_fleet::Order::Leave);
-                        let _ = self.module.send(Message::Leave(stop)).await;
+                        let _ = self
+                            .module
+                            .send(Message::Leave { noticed_at, stop_at: noticed_at.saturating_add(stop) })
+                            .await;
                     }
                 }
                 Next::Time => {
--- a/crates/server/src/lifecycle/phase.rs
+++ b/crates/server/src/lifecycle/phase.rs
@@ -44,7 +44,7 @@
 const END_BEFORE: Micros = 15_000;
 /// But where the stop has passed already, as after a standstill, closing takes so long: what lay unread meanwhile is to be
 /// answered as long as nobody stops the process.
-const CLOSE_LEAST: Micros = 100_000;
+const CLOSE_LEAST: Micros = 500_000;
 
 impl Life {
     /// A program that starts.
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -86,6 +86,11 @@
     noticed_at: Micros,
 }
 
+/// The notice to leave as it is at `now`.
+fn leave(noticed_at: Micros, now: Micros, stop_at: Micros) -> Event {
+    Event::Leave { left: stop_at.saturating_sub(now), ago: now.saturating_sub(noticed_at) }
+}
+
 impl Module {
     /// Will host a server with these settings.
     pub fn new(
@@ -210,7 +215,13 @@
         let Some(server) = self.server.as_mut().filter(|_| !self.events.is_empty()) else { return false };
         let now = self.clock.now();
         let mut actions = Vec::new();
-        server.step(now, std::mem::take(&mut self.events), &mut actions);
+        let mut events = std::mem::take(&mut self.events);
+        // The process may have stood still since the notice was taken in: the stop has come nearer by that.
+        if let Some(stop_at) = self.stop_at {
+            let told = leave(self.noticed_at, now, stop_at);
+            events.iter_mut().filter(|e| matches!(e, Event::Leave { .. })).for_each(|e| *e = told.clone());
+        }
+        server.step(now, events, &mut actions);
         actions.into_iter().for_each(|action| self.carry_out(now, action));
         self.answer_overdue(now);
         true
@@ -265,10 +276,9 @@
                     self.take_plans();
                 }
             }
-            Message::Leave(span) => {
-                self.stop_at = Some(now.saturating_add(span));
-                self.noticed_at = now;
-                self.events.push(Event::Leave { left: span, ago: 0 });
+            Message::Leave { noticed_at, stop_at } => {
+                (self.stop_at, self.noticed_at) = (Some(stop_at), noticed_at);
+                self.events.push(leave(noticed_at, now, stop_at));
             }
         }
     }
@@ -378,8 +388,7 @@
         self.events = vec![Event::Timer(Gauges::default())];
         // A notice to drain that came before the agent was up counts from when it came, and nobody is asked to come to a
         // server that is leaving.
-        let ago = now.saturating_sub(self.noticed_at);
-        self.events.extend(self.stop_at.map(|at| Event::Leave { left: at.saturating_sub(now), ago }));
+        self.events.extend(self.stop_at.map(|at| leave(self.noticed_at, now, at)));
         let _ = self.others.up.try_send(());
         self.tell_list(self.ready.unwrap_or(self.stop_at.is_none()));
     }
--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -421,7 +421,7 @@
 fn a_notice_that_comes_before_the_agent_is_not_forgotten() {
     let mut bench = bench(Halt::Pause);
     bench.module.server = None;
-    bench.hear(Message::Leave(1_000_000));
+    bench.hear(Message::Leave { noticed_at: NOW, stop_at: NOW + 1_000_000 });
     bench.module.greet(NOW + 400_000, 0);
     assert!(bench.events().contains(&"Leave { left: 600000, ago: 400000 }".to_owned()));
 }
@@ -631,7 +631,16 @@
 fn a_leaving_server_whose_agent_comes_up_is_never_listed_as_taking_work() {
     let mut bench = bench(Halt::Pause);
     (bench.module.server, bench.module.ready) = (None, None);
-    bench.hear(Message::Leave(1_000_000));
+    bench.hear(Message::Leave { noticed_at: NOW, stop_at: NOW + 1_000_000 });
     bench.module.greet(NOW + 400_000, 0);
     assert_eq!(bench.list(), [false]);
 }
+
+/// Guards against a stop that is taken for later than it is: the process stood still between the notice and the moment in
+/// which the module took it in.
+#[test]
+fn a_notice_taken_in_late_moves_neither_the_stop_nor_the_grace() {
+    let mut bench = bench(Halt::Pause);
+    bench.hear(Message::Leave { noticed_at: NOW - 700_000, stop_at: NOW + 300_000 });
+    assert_eq!(bench.events(), ["Leave { left: 300000, ago: 700000 }"]);
+}
