The bad order of a notice and a standstill is made to happen every time, in a test

This one takes a request and a notice in and steps when the stop is long past: answered at once, nothing launched. Seen red with the event left as it was taken in.

--- a/crates/server/src/module/tests.rs
+++ b/crates/server/src/module/tests.rs
@@ -644,3 +644,16 @@
     bench.hear(Message::Leave { noticed_at: NOW - 700_000, stop_at: NOW + 300_000 });
     assert_eq!(bench.events(), ["Leave { left: 300000, ago: 700000 }"]);
 }
+
+/// Guards against a stop that is taken for later than it is: the process stood still between taking the notice in and the
+/// step that tells the decisions of it. What is open then is answered at once, and nothing starts.
+#[test]
+fn a_notice_is_told_as_it_is_at_the_step() {
+    let mut bench = bench(Halt::Pause);
+    bench.request("a", None);
+    // Both were taken in at `NOW`; by the clock, at which the step is, the stop is long past.
+    bench.hear(Message::Leave { noticed_at: NOW, stop_at: NOW + 1_000_000 });
+    assert!(bench.module.step());
+    assert!(matches!(bench.answers()[..], [(1, Answer::Refused { .. })]));
+    assert_eq!(bench.orders(), []);
+}
