SIGTERM no longer waits behind, or is lost to, a series of SIGHUPs

Callers saw requests without an answer: a server that got some hundred SIGHUPs right before SIGTERM was still running at SIGKILL, with every run in progress unanswered.

Cause: signals were taken one by one from a queue in the order of their arrival, each SIGHUP read and checked both files on the thread that serves, and the loop that did so never gave that thread to the other actors while the queue had something. The queue is a socket pair that async-signal writes to without waiting; what finds it full is dropped.

Change: handlers set one flag for shutdown and one for reload (signal-hook), of which none can be lost; the socket only wakes the server. A shutdown is looked for first, a reload stands for all SIGHUPs since the last one, and the other actors get their turn between two events. signal-hook replaces async-signal.

Why this works: between SIGTERM and its reading stands one reload at most.

--- a/crates/protocol-fakes/src/test_environment.rs
+++ b/crates/protocol-fakes/src/test_environment.rs
@@ -9,6 +9,7 @@
 use serde_json::{json, Value};
 
 use crate::loopback::{free_address, unique_host};
+use crate::signals;
 use crate::{Agent, Announce, Balancer, Records, Request};
 
 /// Upper bound of every wait.
@@ -218,9 +219,16 @@
 
     /// Sends the server a signal, given by its name without `SIG`.
     pub fn signal(&self, name: &str) {
-        let pid = self.server.id().to_string();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(&pid).status().expect("kill");
-        assert!(sent.success());
+        signals::send(self.server.id(), name).expect("a server that has not been waited for");
+    }
+
+    /// Sends SIGKILL at `at`, unless the server has ended by then. Returns whether it was still running.
+    pub fn kill_at(&mut self, at: Instant) -> bool {
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        let is_running = self.is_alive();
+        self.server.kill().expect("killed");
+        self.server.wait().expect("ended");
+        is_running
     }
 
     /// Starts the server again after it has ended.
--- a/crates/server/src/lifecycle/server.rs
+++ b/crates/server/src/lifecycle/server.rs
@@ -63,6 +63,8 @@
     /// Handles events until the process is to exit.
     pub async fn run(mut self, mut phase: PhaseTracker, mut signals: SignalListener) {
         while phase.phase() != Phase::Stopped {
+            // The other actors get their turn between two events, however fast these come.
+            future::yield_now().await;
             match self.next_event(phase.next_timeout(), &mut signals).await {
                 ServerEvent::AgentUp => phase.enter(Phase::Serving),
                 ServerEvent::Signal(SignalRequest::Reload) => self.reload().await,
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -1,36 +1,84 @@
 //! Receives the signals of the operating system.
 
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use std::io::{ErrorKind, Read};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use async_io::Async;
+use futures_lite::future;
+use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
+use signal_hook::low_level::pipe;
 
 /// The request that a signal stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SignalRequest {
     /// SIGTERM or SIGINT: drain, then exit.
     Shutdown,
-    /// SIGHUP: read the configuration files again.
+    /// SIGHUP: read the configuration files again. It stands for all SIGHUPs since the last one returned.
     Reload,
 }
 
 /// Receives signals from the moment it is created.
-pub struct SignalListener(Signals);
+///
+/// The signal handlers set flags, of which none can be lost however many signals come, and write to a socket
+/// only to wake the server.
+pub struct SignalListener {
+    shutdown: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+    wakeups: Async<UnixStream>,
+}
 
 impl SignalListener {
     /// Starts to listen for SIGTERM, SIGINT and SIGHUP. Without a listener each of these would end the
     /// process.
     pub fn new() -> std::io::Result<SignalListener> {
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map(SignalListener)
+        let (wakeups, wake_sender) = UnixStream::pair()?;
+        let wakeups = Async::new(wakeups)?;
+        let (shutdown, reload) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        for (signal, flag) in [(SIGTERM, &shutdown), (SIGINT, &shutdown), (SIGHUP, &reload)] {
+            // Handlers run in the order of their registration: the flag is set before the server wakes.
+            flag::register(signal, flag.clone())?;
+            pipe::register(signal, wake_sender.try_clone()?)?;
+        }
+        Ok(SignalListener { shutdown, reload, wakeups })
     }
 
-    /// Waits for the next request.
+    /// Waits for the next request. A shutdown takes precedence over a reload.
     pub async fn next(&mut self) -> SignalRequest {
         loop {
-            // The stream never ends. If reading it failed, no further signal could be received.
-            match self.0.next().await {
-                Some(Ok(Signal::Hup)) => return SignalRequest::Reload,
-                Some(Ok(_)) => return SignalRequest::Shutdown,
-                Some(Err(_)) | None => {}
+            if let Some(request) = self.check() {
+                return request;
+            }
+            if self.wakeups.readable().await.is_err() {
+                // Without the socket no further signal could wake the server.
+                future::pending::<()>().await;
+            }
+            self.discard_wakeups();
+        }
+    }
+
+    /// Checks for signals without waiting.
+    fn check(&mut self) -> Option<SignalRequest> {
+        if self.shutdown.swap(false, Ordering::SeqCst) {
+            return Some(SignalRequest::Shutdown);
+        }
+        self.reload.swap(false, Ordering::SeqCst).then_some(SignalRequest::Reload)
+    }
+
+    fn discard_wakeups(&self) {
+        let mut buffer = [0; 256];
+        loop {
+            match self.wakeups.get_ref().read(&mut buffer) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return,
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/tests/drain_notice.rs
@@ -0,0 +1,94 @@
+//! The notice to drain when it is read late, behind a series of other signals. The server is killed exactly `stop_ms` after SIGTERM, the earliest that the protocol allows.
+
+mod common;
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use common::{Balancer, Request, TestEnvironment};
+
+/// The time between SIGTERM and SIGKILL.
+const STOP_MS: u64 = 1_500;
+/// Requests whose runs go on until the kill.
+const RUNS: usize = 4;
+
+/// The dependencies of the example of an operator's file, without its call plans, so that a reload takes its
+/// usual time.
+fn operator_config() -> &'static str {
+    let example = include_str!("../../../deploy/operator.kdl");
+    example.split_once("\nplan ").expect("plans").0
+}
+
+/// Starts a server with [`RUNS`] runs in progress that never end.
+fn start_with_runs() -> (TestEnvironment, Vec<Balancer>) {
+    let mut env = TestEnvironment::start_registered_with(
+        |config| config["stop_ms"] = STOP_MS.into(),
+        operator_config(),
+    );
+    let mut balancers = Vec::new();
+    for run in 0..RUNS {
+        let stream = TcpStream::connect(env.listen).expect("connected");
+        let mut balancer = Balancer::tolerant(stream);
+        balancer.send(&Request::new(1, &format!("run{run}")));
+        assert_eq!(env.agent.expect_command("launch").0, format!("run{run}"));
+        balancers.push(balancer);
+    }
+    (env, balancers)
+}
+
+/// What was found when the server was killed.
+#[derive(Debug, PartialEq, Eq)]
+struct AtTheKill {
+    unanswered_requests: usize,
+    /// Whether the server had not exited by itself.
+    was_alive: bool,
+}
+
+const ALL_IN_ORDER: AtTheKill = AtTheKill { unanswered_requests: 0, was_alive: false };
+
+/// Kills the server [`STOP_MS`] after `notified_at`.
+fn kill(mut env: TestEnvironment, balancers: Vec<Balancer>, notified_at: Instant) -> AtTheKill {
+    let was_alive = env.kill_at(notified_at + Duration::from_millis(STOP_MS));
+    let answers = balancers.into_iter().map(|mut balancer| balancer.try_answer());
+    AtTheKill { unanswered_requests: answers.filter(Option::is_none).count(), was_alive }
+}
+
+/// Asserts that the server ended in order in each case, and names the others.
+fn assert_all_in_order<Case: std::fmt::Debug>(results: Vec<(Case, AtTheKill)>) {
+    let failures: Vec<_> =
+        results.into_iter().filter(|(_, at_the_kill)| *at_the_kill != ALL_IN_ORDER).collect();
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
+/// Guards against a notice that waits for a series of reloads, and against one that is lost because the
+/// signals before it fill a queue.
+#[test]
+fn runs_are_answered_before_the_kill_after_a_series_of_reload_signals() {
+    let results = [1, 100, 300, 2_000].map(|reload_signals| {
+        let (env, balancers) = start_with_runs();
+        for _ in 0..reload_signals {
+            env.signal("HUP");
+            // Signals that are pending at once count as one; this time lets each be delivered.
+            std::thread::sleep(Duration::from_micros(20));
+        }
+        env.signal("TERM");
+        let notified_at = Instant::now();
+        (reload_signals, kill(env, balancers, notified_at))
+    });
+    assert_all_in_order(results.into());
+}
+
+/// Reload signals before, between and after two notices change nothing about the first one.
+#[test]
+fn the_first_notice_counts_among_reload_signals_on_both_sides() {
+    let (env, balancers) = start_with_runs();
+    (0..100).for_each(|_| env.signal("HUP"));
+    env.signal("TERM");
+    let notified_at = Instant::now();
+    for _ in 0..20 {
+        env.signal("HUP");
+        std::thread::sleep(Duration::from_millis(20));
+        env.signal("TERM");
+    }
+    assert_eq!(kill(env, balancers, notified_at), ALL_IN_ORDER);
+}
