The stop counts from the last check that found no SIGTERM, not from its reading

Callers saw all requests that still ran unanswered if their server's process stood still, or was busy, for more than some 60 ms across SIGTERM: it was killed before it answered them.

Cause: begin_drain took the time at which the signal was read as the notice and counted stop_ms from there, while the kill counts from the signal.

Change: the process can't know when a signal was sent while it was not run, but it knows when it last looked and found none. The listener looks at least every 20 ms and reports that time with the shutdown; the stop and the grace for new requests count from it. Both are then never late. They may be early by up to 20 ms, or by the length of a standstill across the notice: callers then lose the end of runs that could just have ended, and requests late in the grace are rejected though they might have run. A wider margin would take as much from each drain and still bear only its own width. `shutdown signal received` in the log has since_last_check_us, so that a late reading can be told.

--- a/crates/server/src/cli/serve.rs
+++ b/crates/server/src/cli/serve.rs
@@ -4,19 +4,21 @@
 
 use super::CommandError;
 use crate::lifecycle;
+use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config_files::{ConfigFiles, LoadedConfig};
 use crate::lifecycle::log::{self, LogFormat};
 use crate::lifecycle::signals::SignalListener;
 
 /// Serves until a signal ends the process.
 pub fn run(files: ConfigFiles, verbose: bool, format: LogFormat) -> Result<(), CommandError> {
+    let clock = Clock::default();
     // First of all: without a listener, an early signal would end the process by its default action.
-    let signals = SignalListener::new().map_err(CommandError::Signals)?;
+    let signals = SignalListener::new(clock.clone()).map_err(CommandError::Signals)?;
     let config = files.load()?;
     let level = if verbose { Level::Debug } else { Level::Info };
     let (log, _guard) = log::start(&config.server.name, level, format);
     log_configuration(&config, &log);
-    lifecycle::serve(config, files, signals, &log)?;
+    lifecycle::serve(config, files, signals, &clock, &log)?;
     Ok(())
 }
 
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -42,17 +42,17 @@
     config: LoadedConfig,
     files: ConfigFiles,
     signals: SignalListener,
+    clock: &Clock,
     log: &Logger,
 ) -> Result<(), StartupError> {
     let mut phase = PhaseTracker::new(log.clone());
     let balancers = startup::bind_balancers(config.server.listen)?;
-    let clock = Clock::default();
     let executor = Rc::new(LocalExecutor::new());
     phase.enter(Phase::WaitingForAgent);
     executor.spawn(stall_detector::watch(log.clone())).detach();
     let fleet = startup::bind_fleet(config.operator.as_ref())?;
     let sockets = ListenSockets { balancers, fleet };
-    let server = Server::start(&executor, config, files, sockets, &clock, log)?;
+    let server = Server::start(&executor, config, files, sockets, clock, log)?;
     async_io::block_on(executor.run(server.run(phase, signals)));
     Ok(())
 }
--- a/crates/server/src/lifecycle/server.rs
+++ b/crates/server/src/lifecycle/server.rs
@@ -8,7 +8,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future;
-use slog::Logger;
+use slog::{info, Logger};
 use umberloom::interface::Micros;
 
 use super::clock::Clock;
@@ -68,19 +68,24 @@
             match self.next_event(phase.next_timeout(), &mut signals).await {
                 ServerEvent::AgentUp => phase.enter(Phase::Serving),
                 ServerEvent::Signal(SignalRequest::Reload) => self.reload().await,
-                ServerEvent::Signal(SignalRequest::Shutdown) => self.begin_drain(&mut phase).await,
+                ServerEvent::Signal(SignalRequest::Shutdown { not_before }) => {
+                    self.begin_drain(&mut phase, not_before).await;
+                }
                 ServerEvent::Timeout => self.handle_timeout(&mut phase).await,
                 ServerEvent::ConnectionsClosed => phase.enter(Phase::Stopped),
             }
         }
     }
 
-    async fn begin_drain(&self, phase: &mut PhaseTracker) {
-        let noticed_at = self.clock.now();
+    /// Begins to drain on a shutdown signal that came after `noticed_at`. The stop is counted from there, as
+    /// the process is killed that long after the signal was sent and not after it was read.
+    async fn begin_drain(&self, phase: &mut PhaseTracker, noticed_at: Micros) {
         let stop_after = self.config.shutdown_time;
         if !phase.begin_drain(noticed_at, stop_after) {
             return;
         }
+        let unchecked_us = self.clock.now().saturating_sub(noticed_at);
+        info!(self.log, "shutdown signal received"; "since_last_check_us" => unchecked_us);
         // The fleet is notified that this server leaves before the drain begins, and without waiting for the
         // fleet.
         self.notify_fleet(FleetCommand::Leave);
--- a/crates/server/tests/drain_notice.rs
+++ b/crates/server/tests/drain_notice.rs
@@ -1,4 +1,5 @@
-//! The notice to drain when it is read late, behind a series of other signals. The server is killed exactly `stop_ms` after SIGTERM, the earliest that the protocol allows.
+//! The notice to drain when it is read late: after a standstill of the process, or behind a series of other
+//! signals. The server is killed exactly `stop_ms` after SIGTERM, the earliest that the protocol allows.
 
 mod common;
 
@@ -60,6 +61,22 @@
     assert!(failures.is_empty(), "{failures:?}");
 }
 
+/// Guards against counting the stop from the moment at which SIGTERM is read instead of when it was sent:
+/// after a standstill across it, runs that go on were answered after the kill.
+#[test]
+fn runs_are_answered_before_the_kill_if_the_process_stood_still_across_the_notice() {
+    let results = [30, 60, 100, 250, 400].map(|stall_ms| {
+        let (env, balancers) = start_with_runs();
+        env.signal("STOP");
+        env.signal("TERM");
+        let notified_at = Instant::now();
+        std::thread::sleep(Duration::from_millis(stall_ms));
+        env.signal("CONT");
+        (stall_ms, kill(env, balancers, notified_at))
+    });
+    assert_all_in_order(results.into());
+}
+
 /// Guards against a notice that waits for a series of reloads, and against one that is lost because the
 /// signals before it fill a queue.
 #[test]
