Probes of many servers keep small rates too

Nobody was hurt: the only rate in use is 10 in a window.

Cause: probe_delay used half of the rate whatever it was. Independent times scatter like a binomial number, whose spread is large beside a small rate.

The bound and its test are unchanged.

The new test in the suite has 1,500 and 600 minutes.

--- a/crates/dependencies/src/probe_pacing/tests.rs
+++ b/crates/dependencies/src/probe_pacing/tests.rs
@@ -54,3 +54,33 @@
         prop_assert_eq!(spread_delay(1, 1_000, &mut random), 1_000);
     }
 }
+
+/// Number of the minutes, one for each seed and number of servers from 1 to 30, in which some window has more
+/// probes than the rate allows.
+fn minutes_over(max_probes: u32, seeds: std::ops::Range<u64>) -> usize {
+    let max_probes = f64::from(max_probes);
+    let max_allowed = max_probes + 2.0 * max_probes.sqrt() + 2.0;
+    let is_over = |servers, seed| max_probes_in_a_window(servers, max_probes, seed) as f64 > max_allowed;
+    seeds
+        .flat_map(|seed| (1..=30).map(move |servers| (servers, seed)))
+        .filter(|(n, s)| is_over(*n, *s))
+        .count()
+}
+
+/// Guards against spacing that keeps the bound only for large rates: independent random times gather, and at
+/// a rate of one to five in a window some gathered beyond it.
+#[test]
+fn small_rates_are_kept_in_every_minute() {
+    assert!(max_probes_in_a_window(10, 1.0, 319) <= 5);
+    for max_probes in [1, 2, 3, 5, 10] {
+        assert_eq!(minutes_over(max_probes, 0..50), 0, "of 1,500 minutes at {max_probes} in a window");
+    }
+}
+
+/// The same for rates at which a minute has many probes, with fewer seeds because each takes longer.
+#[test]
+fn large_rates_are_kept_in_every_minute() {
+    for max_probes in [30, 100] {
+        assert_eq!(minutes_over(max_probes, 0..20), 0, "of 600 minutes at {max_probes} in a window");
+    }
+}
