An unusable disk is reported as such while it is tried again

Operators who asked `umberloom fleet record status` of a server whose store folder can't be used were told now and then that its disk is being opened; fleet_store_disks failed for it under load.

Cause: the reply followed reopen_at, which is empty while the disk thread tries the folder again. How long that is depends on the machine.

The new unit test holds the event of the disk thread back and failed on the text before.

Change: the actor remembers that the disk failed until it has been opened. The process test is unchanged.

--- a/crates/server/src/peers/fleet/replication.rs
+++ b/crates/server/src/peers/fleet/replication.rs
@@ -49,7 +49,9 @@
     disk_events: Receiver<DiskEvent>,
     /// Batches for which the disk thread's queue has no room yet.
     unwritten: VecDeque<UnwrittenBatch>,
-    /// When the closed store is opened again.
+    /// The store was closed because of its disk and has not been opened since.
+    disk_failed: bool,
+    /// When the closed store is opened again; `None` while it is open or being opened.
     reopen_at: Option<Micros>,
     /// Delay before the next reopening.
     reopen_backoff: Micros,
@@ -77,6 +79,7 @@
             disk_event_sender,
             disk_events,
             unwritten: VecDeque::new(),
+            disk_failed: false,
             reopen_at: None,
             reopen_backoff: MIN_REOPEN_BACKOFF,
             opened_at: now,
@@ -111,7 +114,8 @@
     pub fn handle_request(&mut self, now: Micros, at_ms: u64, source: RequestSource, request: StoreRequest) {
         match &mut self.replica {
             Some(replica) => self.requests.handle_request(now, at_ms, source, request, replica),
-            None if self.reopen_at.is_some() => {
+            // Also while it is tried again, which takes its time on a busy machine.
+            None if self.disk_failed => {
                 self.requests.reject_without_replica(source, "its disk can't be used now");
             }
             None => self.requests.reject_without_replica(source, "its disk is being opened"),
@@ -244,3 +248,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/server/src/peers/fleet/replication/disk.rs
+++ b/crates/server/src/peers/fleet/replication/disk.rs
@@ -74,6 +74,7 @@
         self.unwritten.clear();
         // With a new channel, events that the old thread still reports about the closed store are discarded.
         (self.disk_event_sender, self.disk_events) = bounded(DISK_EVENT_CAPACITY);
+        self.disk_failed = true;
         self.reopen_at = Some(now + self.reopen_backoff);
         self.reopen_backoff = (2 * self.reopen_backoff).min(MAX_REOPEN_BACKOFF);
     }
@@ -114,6 +115,7 @@
         }
         match replica {
             Ok(replica) => {
+                self.disk_failed = false;
                 let found_replica = replica.is_some();
                 info!(self.log, "store opened"; "commits" => store.generation, "found_replica" => found_replica);
                 self.start_replica(now, replica);
