The log tells what was left at the exit

Change: at the exit one line says how many connections waited for a response, for their output to be written, for the peer's close, or for nothing; the state of the agent's link and its age; and how long ago the agent answered a sample.

--- a/crates/server/src/lifecycle/server.rs
+++ b/crates/server/src/lifecycle/server.rs
@@ -20,6 +20,7 @@
 use super::signals::{SignalListener, SignalRequest};
 use super::startup::Senders;
 use crate::memory::budget::Budget;
+use crate::messages::diagnostics::{AgentLinkStatus, ConnectionCounts, OpenConnections};
 use crate::messages::fleet::FleetCommand;
 use crate::messages::listener::ListenerCommand;
 use crate::messages::AdmissionMessage;
@@ -55,6 +56,8 @@
     pub(super) agent_up: Receiver<()>,
     /// Completes when the last connection of a balancer is closed.
     pub(super) connections: Task<()>,
+    pub(super) agent_link: AgentLinkStatus,
+    pub(super) open_connections: OpenConnections,
     pub(super) clock: Clock,
     pub(super) log: Logger,
 }
@@ -75,6 +78,23 @@
                 ServerEvent::ConnectionsClosed => phase.enter(Phase::Stopped),
             }
         }
+        self.log_exit();
+    }
+
+    /// Logs what was left at the exit, so that a request without a response can be traced.
+    fn log_exit(&self) {
+        let ConnectionCounts { awaiting_response, unwritten, awaiting_peer_close, idle } =
+            self.open_connections.counts();
+        let (agent_link, agent_link_age) = self.agent_link.state();
+        let sample_age_ms = self.agent_link.sample_age().map(|age| age.as_millis() as u64);
+        info!(self.log, "exiting";
+            "sample_age_ms" => sample_age_ms,
+            "agent_link_age_ms" => agent_link_age.as_millis() as u64,
+            "agent_link" => %agent_link,
+            "idle" => idle,
+            "awaiting_peer_close" => awaiting_peer_close,
+            "unwritten" => unwritten,
+            "awaiting_response" => awaiting_response);
     }
 
     /// Begins to drain on a shutdown signal that came after `noticed_at`. The stop is counted from there, as
--- a/crates/server/src/lifecycle/startup.rs
+++ b/crates/server/src/lifecycle/startup.rs
@@ -25,6 +25,7 @@
 use crate::messages::agent::AgentActorMessage;
 use crate::messages::caller::LoadHint;
 use crate::messages::calls::{DependencyCommand, DependencySettings};
+use crate::messages::diagnostics::{AgentLinkStatus, OpenConnections};
 use crate::messages::listener::ListenerCommand;
 use crate::messages::registration::RegistrationCommand;
 use crate::messages::AdmissionMessage;
@@ -146,10 +147,12 @@
             agent_up: agent_up_sender,
             load_hint: LoadHint::default(),
         };
-        starter.start_agent(inboxes.agent);
+        let agent_link = AgentLinkStatus::default();
+        starter.start_agent(inboxes.agent, agent_link.clone());
         starter.start_registration(inboxes.registration);
         starter.start_records_client(inboxes.records, &call_sockets);
         let context = starter.connection_context(&mailboxes.load_hint, descriptors.connections, &budget);
+        let open_connections = context.open_connections.clone();
         let connections = starter.start_listener(sockets.balancers, context, inboxes.listener);
         let mut server = Server {
             executor: executor.clone(),
@@ -162,6 +165,8 @@
             fleet,
             agent_up,
             connections,
+            agent_link,
+            open_connections,
             clock: clock.clone(),
             log: log.clone(),
         };
@@ -237,9 +242,9 @@
         fleet::start(self.executor, start).map(Some)
     }
 
-    fn start_agent(&self, inbox: Receiver<AgentActorMessage>) {
-        let actor =
-            AgentActor::new(self.config.agent, inbox, self.senders.admission.clone(), self.log.clone());
+    fn start_agent(&self, inbox: Receiver<AgentActorMessage>, status: AgentLinkStatus) {
+        let admission = self.senders.admission.clone();
+        let actor = AgentActor::new(self.config.agent, inbox, admission, status, self.log.clone());
         self.executor.spawn(actor.run()).detach();
     }
 
@@ -282,6 +287,7 @@
             load_hint: load_hint.clone(),
             shape: self.config.shape,
             max_connections,
+            open_connections: OpenConnections::default(),
             last_serial: Rc::default(),
             budget: budget.clone(),
             clock: self.clock.clone(),
--- a/crates/server/src/messages/caller.rs
+++ b/crates/server/src/messages/caller.rs
@@ -167,6 +167,10 @@
     pub last_active: Cell<Micros>,
     /// Number of requests in flight that were received in full.
     pub open_requests: Cell<usize>,
+    /// Bytes of responses that are not written yet.
+    pub unwritten_bytes: Cell<usize>,
+    /// All responses are written and the sending side is closed; the peer has not closed its own.
+    pub awaiting_peer_close: Cell<bool>,
     /// Whether a complete request has been received on the connection.
     pub has_requested: Cell<bool>,
     /// Set by the listener: no new requests are accepted, and the connection closes as soon as none is in
--- a/crates/server/src/messages/mod.rs
+++ b/crates/server/src/messages/mod.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod caller;
 pub mod calls;
+pub mod diagnostics;
 pub mod fleet;
 pub mod listener;
 pub mod registration;
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -12,6 +12,7 @@
 use super::command_log::CommandLog;
 use super::stream::{self, ReadResult};
 use crate::messages::agent::AgentActorMessage;
+use crate::messages::diagnostics::{AgentLinkState, AgentLinkStatus};
 use crate::messages::AdmissionMessage;
 use crate::wire::buffer::Buffer;
 use crate::wire::jsonl::{self, Command, Notice};
@@ -36,6 +37,7 @@
     command_log: CommandLog,
     /// Sequence number of the last notice that was read; 0 before the first.
     last_notice: u64,
+    status: AgentLinkStatus,
     log: Logger,
 }
 
@@ -79,9 +81,11 @@
         address: SocketAddr,
         mailbox: Receiver<AgentActorMessage>,
         admission: Sender<AdmissionMessage>,
+        status: AgentLinkStatus,
         log: Logger,
     ) -> AgentActor {
-        AgentActor { address, mailbox, admission, command_log: CommandLog::default(), last_notice: 0, log }
+        let command_log = CommandLog::default();
+        AgentActor { address, mailbox, admission, command_log, last_notice: 0, status, log }
     }
 
     /// Keeps a link up until admission has ended.
@@ -94,6 +98,7 @@
             let backoff = match connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into())) {
                 Ok(stream) => {
                     let (end, greeted) = self.serve_link(stream).await;
+                    self.status.set(AgentLinkState::Disconnected);
                     self.log_link_end(&end);
                     let shutting_down = matches!(end, LinkEnd::ShuttingDown);
                     if shutting_down || self.admission.send(AdmissionMessage::AgentLinkLost).await.is_err() {
@@ -124,6 +129,7 @@
     async fn serve_link(&mut self, stream: Async<TcpStream>) -> (LinkEnd, bool) {
         let subscribe = Command::Subscribe { seq: self.last_notice }.encode();
         let buffer = Buffer::new(jsonl::MAX_LINE_BYTES);
+        self.status.set(AgentLinkState::AwaitingGreeting);
         let mut link = Link { stream, buffer, output: subscribe, greeted: false };
         loop {
             if let Err(end) = self.step(&mut link).await {
@@ -213,6 +219,7 @@
             if matches!(notice, Notice::Greeting { .. }) && !link.greeted {
                 link.greeted = true;
                 self.command_log.restart_link();
+                self.status.set(AgentLinkState::AwaitingMissedNotices);
             }
             if seq.is_some_and(|seq| seq <= self.last_notice) {
                 continue;
@@ -246,10 +253,17 @@
                 self.command_log.run_waits_for_call(&id);
                 AdmissionMessage::NeedsCall { id, notice_seq, body }
             }
-            Notice::GaugesSampled { tag, values } => match self.command_log.sample_answered(&tag) {
-                Some(tag) => AdmissionMessage::GaugesSampled { tag, values },
-                None => return Ok(()),
-            },
+            Notice::GaugesSampled { tag, values } => {
+                let admission_tag = self.command_log.sample_answered(&tag);
+                self.status.record_sample();
+                if !self.command_log.awaits_missed_notices() {
+                    self.status.set(AgentLinkState::Up);
+                }
+                match admission_tag {
+                    Some(tag) => AdmissionMessage::GaugesSampled { tag, values },
+                    None => return Ok(()),
+                }
+            }
             Notice::HealthCheckEnded { tag, healthy } => match self.command_log.health_check_answered(&tag) {
                 Some(tag) => AdmissionMessage::HealthCheckEnded { tag, healthy },
                 None => return Ok(()),
--- a/crates/server/src/peers/command_log.rs
+++ b/crates/server/src/peers/command_log.rs
@@ -130,6 +130,11 @@
         tag
     }
 
+    /// Whether notices missed without a link may still arrive, so that no other command is written.
+    pub fn awaits_missed_notices(&self) -> bool {
+        self.marker.is_some()
+    }
+
     /// Handles the answer to the health check with tag `wire_tag`. The agent answers these out of order, so
     /// the answer acknowledges no other command. Returns the tag that admission gave the health check.
     pub fn health_check_answered(&mut self, wire_tag: &str) -> Option<u64> {
--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -27,6 +27,7 @@
 use crate::lifecycle::clock::Clock;
 use crate::memory::budget::{Budget, Charge};
 use crate::messages::caller::{ConnectionActivity, ConnectionCommand, LoadHint};
+use crate::messages::diagnostics::{ConnectionRegistration, OpenConnections};
 use crate::messages::AdmissionMessage;
 use crate::wire::buffer::Buffer;
 use crate::wire::fastcgi;
@@ -67,6 +68,8 @@
     pub shape: Shape,
     /// Maximum number of simultaneous connections.
     pub max_connections: usize,
+    /// All open connections, as the log tells them at the exit.
+    pub open_connections: OpenConnections,
     /// The serial number most recently assigned to a request; unique within this process.
     pub last_serial: Rc<Cell<u64>>,
     /// Limits the memory that peers can make this process use.
@@ -138,6 +141,8 @@
     /// Set on a connection beyond the table's capacity: requests received until this time are rejected, then
     /// it closes.
     reject_until: Option<Micros>,
+    /// Keeps the connection among the open ones until it is dropped.
+    _registration: ConnectionRegistration,
 }
 
 impl Connection {
@@ -152,6 +157,7 @@
         let now = context.clock.now();
         activity.last_active.set(now);
         let responder = Responder::new(context.max_connections);
+        let registration = context.open_connections.register(activity.clone());
         let connection = Connection {
             stream,
             context,
@@ -171,6 +177,7 @@
             evicted: false,
             has_written: false,
             reject_until: None,
+            _registration: registration,
         };
         Some((connection, own_mailbox))
     }
@@ -303,7 +310,7 @@
     }
 
     /// Charges the memory that the connection's buffers take. If the budget is exceeded, nothing more is
-    /// read. Also updates the number of requests in flight that the listener sees.
+    /// read. Also updates the number of requests in flight that the listener sees, and of unwritten bytes.
     fn update_charge(&mut self) {
         let bytes = self.buffer.allocated_bytes()
             + self.responder.buffered_bytes()
@@ -313,5 +320,6 @@
             self.stop_reading();
         }
         self.activity.open_requests.set(self.responder.complete_requests());
+        self.activity.unwritten_bytes.set(self.unwritten_bytes());
     }
 }
--- a/crates/server/src/peers/connection/close.rs
+++ b/crates/server/src/peers/connection/close.rs
@@ -49,6 +49,7 @@
     /// Closing with unread bytes would send a reset, which may overtake a response or the end of the stream;
     /// and a load balancer resends a request that crosses the close only if it sees an orderly end.
     pub(super) async fn close(&mut self) {
+        self.activity.awaiting_peer_close.set(true);
         // Fails if the connection is already lost, and then there is nothing to shut down.
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
         // If nothing was written, no response is in transit: only bytes already received are read, without
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -8,6 +8,7 @@
 use super::*;
 use crate::memory::budget::Budget;
 use crate::messages::caller::{ReplyTo, Response};
+use crate::messages::diagnostics::OpenConnections;
 use crate::messages::AdmissionMessage;
 use crate::peers::connection;
 use crate::peers::stream;
@@ -99,6 +100,7 @@
         load_hint: Rc::default(),
         shape: Shape { passes_deadline: true, marks_retry: false },
         max_connections: table.capacity(),
+        open_connections: OpenConnections::default(),
         last_serial: Rc::default(),
         budget: Budget::new(1 << 24),
         clock: Default::default(),
