--- a/crates/fault-harness/src/server.rs
+++ b/crates/fault-harness/src/server.rs
@@ -9,7 +9,7 @@
 use umberloom_protocol_fakes::dependency::Behaviour;
 use umberloom_protocol_fakes::farm::{Farm, FarmConfig};
 use umberloom_protocol_fakes::loopback::{free_address, unique_host};
-use umberloom_protocol_fakes::{Announce, Balancer, Dependency, Request};
+use umberloom_protocol_fakes::{signals, Announce, Balancer, Dependency, Request};
 
 use crate::history::{Event, History};
 
@@ -177,12 +177,8 @@
     /// Sends the process a signal, given by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         if let Some(id) = self.pid() {
-            let sent = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
-            self.history.record(
-                &self.name,
-                "fault",
-                json!({"signal": name, "sent": sent.is_ok_and(|s| s.success())}),
-            );
+            let sent = signals::send(id, name).is_ok();
+            self.history.record(&self.name, "fault", json!({"signal": name, "sent": sent}));
         }
     }
 
--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet_chart;
 mod fleet_measures;
 mod report;
+mod soak;
 mod store_measures;
 mod tables;
 
@@ -24,6 +25,7 @@
     Outage(u64),
     Fleet(fleet::Options),
     Measure(fleet_measures::Options),
+    Soak(soak::Options),
 }
 
 fn command_line() -> OptionParser<Command> {
@@ -63,8 +65,8 @@
         .to_options()
         .descr("The effect of the retry budget in an outage, emulated")
         .command("outage");
-    let (fleet, measure) = (fleet_command(), measure_command());
-    construct!([demo, budgets, outage, fleet, measure])
+    let (fleet, measure, soak) = (fleet_command(), measure_command(), soak_command());
+    construct!([demo, budgets, outage, fleet, measure, soak])
         .to_options()
         .descr("Runs umberloom against stand-ins on loopback")
 }
@@ -101,6 +103,29 @@
         .command("fleet")
 }
 
+fn soak_command() -> impl Parser<Command> {
+    let text = |name: &'static str, help: &'static str, form: &'static str| {
+        long(name).help(help).argument::<String>(form)
+    };
+    let server = server_option();
+    let seeds = text("seeds", "Seeds of the runs, from A up to and including B", "A..B")
+        .parse(|text| text.parse::<soak::SeedRange>().map_err(|e| format!("--seeds: {e}")));
+    let seconds = text("seconds", "Time under load before the notice, in seconds; 1 by default", "N")
+        .parse(|text| soak::parse_seconds(&text).map_err(|e| format!("--seconds: {e}")))
+        .fallback(1);
+    let jobs = text("jobs", "Number of runs that are played at the same time; 1 by default", "N")
+        .parse(|text| soak::parse_jobs(&text).map_err(|e| format!("--jobs: {e}")))
+        .fallback(1);
+    let planted_fault = text("plant", "A fault that the checks must find", "FAULT")
+        .parse(|text| text.parse::<soak::PlantedFault>().map_err(|e| format!("--plant: {e}")))
+        .optional();
+    construct!(soak::Options { server, seeds, seconds, jobs, planted_fault })
+        .map(Command::Soak)
+        .to_options()
+        .descr("Servers that get signals, standstills and failing peers while they drain, and are killed")
+        .command("soak")
+}
+
 fn measure_command() -> impl Parser<Command> {
     use fleet_measures::Measurement;
     let numbers = |name: &'static str, help: &'static str, default: &[usize]| {
@@ -170,6 +195,7 @@
         Command::Budgets(seeds) => experiments::budgets(seeds),
         Command::Fleet(options) => fleet::run(&options),
         Command::Measure(options) => fleet_measures::measure(&options),
+        Command::Soak(options) => soak::run(&options),
         Command::Outage(seeds) => experiments::outage(seeds),
     };
     match result {
