Interim replies of a dependency take no stack

A dependency or records service could end the server: each interim (1xx) reply before the final one took a part of the stack.

Cause: parse_reply called itself for the rest after an interim reply, without a bound but that of the buffer.

Evidence: the new unit test, 100,000 interim replies at once, overflowed the stack of its thread on the text before (SIGABRT). A server's own thread has a larger stack and its buffer is smaller; that a process ends by it was not tried.

Change: heads are parsed in a loop, and interim replies count towards the limit of the head, 8 KiB.

Measured: the test passes, as do the others of wire::http.

--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -56,27 +56,53 @@
 /// Parses the reply at the start of `bytes`; `None` while it is incomplete. Interim (1xx) replies are
 /// skipped. `ended` says that the peer has closed the connection, which completes a body without a stated
 /// length.
+///
+/// # Errors
+///
+/// Fails if the reply is malformed, if its head with all interim replies before it is longer than
+/// [`MAX_HEAD_BYTES`], or if its body is longer than [`MAX_BODY_BYTES`].
 pub fn parse_reply(bytes: &[u8], ended: bool) -> Result<Option<Reply>, MalformedInput> {
+    let Some(reply) = parse_final_head(bytes)? else { return Ok(None) };
+    let body = parse_body(&reply, &bytes[reply.encoded_bytes..], ended)?;
+    Ok(body.map(|body| Reply {
+        body: body.bytes,
+        keep_alive: reply.keep_alive && body.keep_alive,
+        encoded_bytes: reply.encoded_bytes + body.encoded_bytes,
+        ..reply
+    }))
+}
+
+/// Parses the head of the first reply that is not an interim one; `None` while it is incomplete. Its encoded
+/// size includes the interim replies, and its body is empty.
+fn parse_final_head(bytes: &[u8]) -> Result<Option<Reply>, MalformedInput> {
+    let mut position = 0;
+    loop {
+        let Some(mut head) = parse_head(&bytes[position..])? else {
+            return if bytes.len() > MAX_HEAD_BYTES { Err(MalformedInput::HeadTooLong) } else { Ok(None) };
+        };
+        head.encoded_bytes += position;
+        if !(100..200).contains(&head.status) {
+            return Ok(Some(head));
+        }
+        if head.encoded_bytes > MAX_HEAD_BYTES {
+            return Err(MalformedInput::HeadTooLong);
+        }
+        position = head.encoded_bytes;
+    }
+}
+
+/// Parses one head, interim or not; `None` while it is incomplete.
+fn parse_head(bytes: &[u8]) -> Result<Option<Reply>, MalformedInput> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
-    let head_bytes = match head.parse(bytes).map_err(|_| MalformedInput::InvalidReply)? {
-        httparse::Status::Complete(head_bytes) => head_bytes,
-        httparse::Status::Partial if bytes.len() > MAX_HEAD_BYTES => return Err(MalformedInput::HeadTooLong),
-        httparse::Status::Partial => return Ok(None),
-    };
-    let status = head.code.unwrap_or(0);
-    if (100..200).contains(&status) {
-        let final_reply = parse_reply(&bytes[head_bytes..], ended)?;
-        return Ok(
-            final_reply.map(|reply| Reply { encoded_bytes: reply.encoded_bytes + head_bytes, ..reply })
-        );
-    }
+    let parsed = head.parse(bytes).map_err(|_| MalformedInput::InvalidReply)?;
+    let httparse::Status::Complete(head_bytes) = parsed else { return Ok(None) };
     let owned_header = |header: &httparse::Header| {
         (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value).into_owned())
     };
     let headers: Vec<_> = head.headers.iter().map(owned_header).collect();
     let mut reply = Reply {
-        status,
+        status: head.code.unwrap_or(0),
         headers,
         body: Vec::new(),
         keep_alive: head.version == Some(1),
@@ -85,13 +111,7 @@
     if reply.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
         reply.keep_alive = false;
     }
-    let body = parse_body(&reply, &bytes[head_bytes..], ended)?;
-    Ok(body.map(|body| Reply {
-        body: body.bytes,
-        keep_alive: reply.keep_alive && body.keep_alive,
-        encoded_bytes: reply.encoded_bytes + body.encoded_bytes,
-        ..reply
-    }))
+    Ok(Some(reply))
 }
 
 /// The parsed body of a reply.
--- a/crates/server/src/wire/http/tests.rs
+++ b/crates/server/src/wire/http/tests.rs
@@ -83,3 +83,14 @@
     let endless_header = [&b"HTTP/1.1 200 OK\r\nX: "[..], &vec![b'a'; MAX_HEAD_BYTES]].concat();
     assert!(parse_reply(&endless_header, false).is_err());
 }
+
+/// Guards against a peer that ends the process: each interim reply took a part of the stack.
+#[test]
+fn interim_replies_without_end_are_rejected() {
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let parsed = parse_reply(&interim.repeat(100_000), false);
+    assert_eq!(parsed, Err(MalformedInput::HeadTooLong));
+    let few = [&interim.repeat(20)[..], b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"].concat();
+    let reply = parse_reply(&few, false).expect("valid").expect("complete");
+    assert_eq!((reply.status, reply.body, reply.encoded_bytes), (200, b"x".to_vec(), few.len()));
+}
