A head of a reply over the limit is rejected however it arrives

A peer could make a server read a head of up to its whole buffer where 8 KiB are stated.

Cause: the limit was looked at only while the head was incomplete, so one that arrived at once was accepted.

Change: the size of each complete head is checked.

Measured: the tests of wire::http pass.

--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -81,12 +81,12 @@
             return if bytes.len() > MAX_HEAD_BYTES { Err(MalformedInput::HeadTooLong) } else { Ok(None) };
         };
         head.encoded_bytes += position;
-        if !(100..200).contains(&head.status) {
-            return Ok(Some(head));
-        }
         if head.encoded_bytes > MAX_HEAD_BYTES {
             return Err(MalformedInput::HeadTooLong);
         }
+        if !(100..200).contains(&head.status) {
+            return Ok(Some(head));
+        }
         position = head.encoded_bytes;
     }
 }
--- a/crates/server/src/wire/http/tests.rs
+++ b/crates/server/src/wire/http/tests.rs
@@ -94,3 +94,14 @@
     let reply = parse_reply(&few, false).expect("valid").expect("complete");
     assert_eq!((reply.status, reply.body, reply.encoded_bytes), (200, b"x".to_vec(), few.len()));
 }
+
+/// Guards against a head over the limit that is accepted because it arrives at once.
+#[test]
+fn a_complete_head_over_the_limit_is_rejected() {
+    let reply = |filler: usize| {
+        format!("HTTP/1.1 200 OK\r\nX-Filler: {}\r\nContent-Length: 0\r\n\r\n", "x".repeat(filler))
+            .into_bytes()
+    };
+    assert_eq!(parse_reply(&reply(MAX_HEAD_BYTES), false), Err(MalformedInput::HeadTooLong));
+    assert!(parse_reply(&reply(MAX_HEAD_BYTES - 100), false).is_ok_and(|reply| reply.is_some()));
+}
