A full queue of the replica drops no write batch

An acknowledged entry could be lost with its server: a batch that was never written counted as durable. Not seen; the host takes all actions at each event, so the queue of 16,384 has not been seen full.

Cause: the queue of actions dropped its oldest item when full, whatever it was, and the confirmation of a later batch counts for all before it.

Evidence: the new unit test with the queue's old rule put back: batch 1 is gone, batch 2 is there.

Change: only messages are dropped, as they may be on the network. A queue full of batches quarantines the replica.

--- a/crates/replicated-store/src/replica/actions.rs
+++ b/crates/replicated-store/src/replica/actions.rs
@@ -56,3 +56,58 @@
     }
     queue.push_back(item);
 }
+
+/// The queue of actions for the host. If it is full, messages are dropped, as they may be on the network; no
+/// batch is, as the confirmation of a later one counts for all before it.
+#[derive(Debug, Default)]
+pub(super) struct ActionQueue(VecDeque<Action>);
+
+/// The queue is full of actions that must not be dropped: the host has not taken any for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct QueueFull;
+
+impl ActionQueue {
+    /// Appends a message. If the queue is full, the oldest message is dropped for it.
+    pub(super) fn push_message(&mut self, to: MemberName, bytes: Vec<u8>, priority: Priority) {
+        if self.make_room().is_ok() {
+            self.0.push_back(Action::Send { to, bytes, priority });
+        }
+    }
+
+    /// Appends a write batch. If the queue is full, the oldest message is dropped for it.
+    pub(super) fn push_batch(&mut self, number: u64, batch: WriteBatch) -> Result<(), QueueFull> {
+        self.make_room()?;
+        self.0.push_back(Action::Persist { number, batch });
+        Ok(())
+    }
+
+    /// Appends the request to quarantine the replica, after which it requests nothing more.
+    pub(super) fn push_quarantine(&mut self, reason: String) {
+        if self.make_room().is_err() {
+            // The replica will not be used again, so its last batch is not needed.
+            self.0.pop_back();
+        }
+        self.0.push_back(Action::Quarantine { reason });
+    }
+
+    /// Number of actions that the host has not taken.
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Takes all actions, in order.
+    pub(super) fn take(&mut self) -> Vec<Action> {
+        self.0.drain(..).collect()
+    }
+
+    fn make_room(&mut self) -> Result<(), QueueFull> {
+        if self.0.len() < MAX_QUEUED {
+            return Ok(());
+        }
+        let oldest_message = self.0.iter().position(|action| matches!(action, Action::Send { .. }));
+        oldest_message.and_then(|index| self.0.remove(index)).map(drop).ok_or(QueueFull)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/replicated-store/src/replica/mod.rs
+++ b/crates/replicated-store/src/replica/mod.rs
@@ -23,7 +23,7 @@
 use rand::{Rng, SeedableRng};
 use umberloom_membership::MemberName;
 
-use self::actions::push_bounded;
+use self::actions::{push_bounded, ActionQueue};
 pub use self::actions::{Action, Priority};
 use self::comparison::Comparison;
 pub use self::config::{Config, ConfigError, InvalidConfig};
@@ -112,7 +112,7 @@
     quarantined: bool,
     /// Outcomes of entries that this process has applied, the latest last.
     outcomes: VecDeque<(EntryId, Outcome)>,
-    actions: VecDeque<Action>,
+    actions: ActionQueue,
     events: VecDeque<Event>,
 }
 
@@ -174,7 +174,7 @@
             election_ticks: 0,
             quarantined: false,
             outcomes: VecDeque::new(),
-            actions: VecDeque::new(),
+            actions: ActionQueue::default(),
             events: VecDeque::new(),
         }
     }
@@ -226,7 +226,7 @@
             Some(PeerMessage::Relay { to, message }) if self.reachable.contains(&to) => {
                 let relayed = PeerMessage::Relayed { from: from.clone(), boot_id, message };
                 let bytes = message::encode(&relayed);
-                push_bounded(&mut self.actions, Action::Send { to, bytes, priority: Priority::Entry });
+                self.actions.push_message(to, bytes, Priority::Entry);
             }
             // This server does not reach the receiver either. The message is lost, as it could be on the
             // network.
@@ -331,7 +331,7 @@
 
     /// The actions for the host since the last call, in order.
     pub fn take_actions(&mut self) -> Vec<Action> {
-        self.actions.drain(..).collect()
+        self.actions.take()
     }
 
     /// The events since the last call, in order.
@@ -355,14 +355,13 @@
             |name: &&MemberName| self.peers.get(*name).is_some_and(|peer| peer.status.reachable.contains(to));
         let relay =
             if self.reachable.contains(to) { None } else { self.reachable.iter().find(reaches_receiver) };
-        let action = match relay {
+        match relay {
             Some(relay) => {
                 let message = PeerMessage::Relay { to: to.clone(), message: bytes };
-                Action::Send { to: relay.clone(), bytes: message::encode(&message), priority }
+                self.actions.push_message(relay.clone(), message::encode(&message), priority);
             }
-            None => Action::Send { to: to.clone(), bytes, priority },
-        };
-        push_bounded(&mut self.actions, action);
+            None => self.actions.push_message(to.clone(), bytes, priority),
+        }
     }
 
     /// Updates the role and the leader, and emits events for changes.
--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -10,9 +10,7 @@
 use umberloom_membership::MemberName;
 use umberloom_store::{catch_panic, WriteBatch};
 
-use super::{
-    push_bounded, Action, Event, Priority, Replica, ELECTION_TICKS, HEARTBEAT_TICKS, MAX_MESSAGE_BYTES,
-};
+use super::{push_bounded, Event, Priority, Replica, ELECTION_TICKS, HEARTBEAT_TICKS, MAX_MESSAGE_BYTES};
 use crate::log::{Log, LogPosition};
 use crate::message::PeerMessage;
 use crate::rollback::DurableProgress;
@@ -86,14 +84,16 @@
         self.node = None;
         self.quarantined = true;
         self.persistence.clear();
-        push_bounded(&mut self.actions, Action::Quarantine { reason });
+        self.actions.push_quarantine(reason);
     }
 
     /// Gives a write batch to the host to make durable.
     pub(super) fn persist(&mut self, batch: WriteBatch) {
         self.persistence.last_batch += 1;
         let number = self.persistence.last_batch;
-        push_bounded(&mut self.actions, Action::Persist { number, batch });
+        if self.actions.push_batch(number, batch).is_err() {
+            self.quarantine("the host does not take its actions".to_owned());
+        }
     }
 
     /// Calls the Raft library, if this server has a replica. A panic in the library quarantines the replica
