A duplicate gets the result stored under its own key

A caller could get the result of another request: if the id of an ended request came again under another idempotency key, a duplicate of the later one was answered with the earlier one's result. Not seen in service; balancers make a new id for each try.

Cause: the cache looked for a result by the request's id alone and took the first in the order of the keys.

Evidence: the new unit test failed on the text before.

Change: the result is looked up by the duplicate's own key and must belong to the original. The cache's tests name the key too, with the same values.

--- a/crates/server/src/admission/responses.rs
+++ b/crates/server/src/admission/responses.rs
@@ -38,8 +38,10 @@
     pub(super) fn await_original(&mut self, id: &RequestId) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(original) = request.duplicate_of.clone() else { return };
+        let dedup_key = request.dedup_key();
         self.requests.await_original(id);
-        let result = self.idempotency_cache.result(&original).map(<[u8]>::to_vec);
+        let result = dedup_key.and_then(|key| self.idempotency_cache.result(&key, &original));
+        let result = result.map(<[u8]>::to_vec);
         if result.is_some() || !self.requests.contains(&original) {
             self.end_duplicate(id, result.as_deref());
         }
--- a/crates/server/src/admission/tests/idempotency_keys.rs
+++ b/crates/server/src/admission/tests/idempotency_keys.rs
@@ -141,3 +141,20 @@
     assert_eq!(fixture.take_responses(), [(serial, Response::BadRequest)]);
     assert_eq!(fixture.send_attempt(NOW, "b", 0, "other"), None);
 }
+
+/// Guards against a result of another request: the id of an ended request was used again under another key,
+/// and a duplicate of the later request got the result of the earlier one.
+#[test]
+fn duplicate_gets_the_result_stored_under_its_own_key() {
+    let mut fixture = fixture_with_keys();
+    for (key, result) in [("k1", b"first"), ("k2", b"later")] {
+        assert_eq!(fixture.send_attempt(NOW, "a", 0, key), None);
+        fixture.execute(Action::RetainKey("a".into(), 3_000_000));
+        fixture.execute(Action::Admit("a".into()));
+        fixture.end_run("a", RunOutcome::Success(result.to_vec()));
+    }
+    fixture.take_responses();
+    assert_eq!(fixture.send_attempt(NOW, "b", 0, "k2").as_deref(), Some("a"));
+    fixture.execute(Action::AwaitDuplicate("b".into()));
+    assert!(matches!(&fixture.take_responses()[..], [(_, Response::Served(result))] if result == b"later"));
+}
--- a/crates/server/src/memory/idempotency_cache.rs
+++ b/crates/server/src/memory/idempotency_cache.rs
@@ -126,9 +126,10 @@
         }
     }
 
-    /// The stored result of a request, if there is one.
-    pub fn result(&self, id: &str) -> Option<&[u8]> {
-        let entry = self.entries.values().find(|entry| &*entry.request.id == id)?;
+    /// The stored result of a request, if the entry of this key belongs to the request and has one. The id
+    /// alone does not identify it, as an id may be used again once its request has ended.
+    pub fn result(&self, dedup_key: &DedupKey, id: &str) -> Option<&[u8]> {
+        let entry = self.entries.get(dedup_key).filter(|entry| &*entry.request.id == id)?;
         entry.result.as_deref()
     }
 
--- a/crates/server/src/memory/idempotency_cache/tests.rs
+++ b/crates/server/src/memory/idempotency_cache/tests.rs
@@ -28,9 +28,12 @@
     assert_eq!(unexpired(&cache, &dedup_key("k"), 100), None);
     assert_eq!(unexpired(&cache, &DedupKey { class: 1, key: "k".to_owned() }, 0), None);
     cache.store_result(&dedup_key("k"), "a", b"result");
-    assert_eq!(cache.result("a"), Some(&b"result"[..]));
+    assert_eq!(cache.result(&dedup_key("k"), "a"), Some(&b"result"[..]));
     cache.expire(100, |_| false);
-    assert_eq!((cache.result("a"), cache.result_bytes, cache.insertion_order.len()), (None, 0, 0));
+    assert_eq!(
+        (cache.result(&dedup_key("k"), "a"), cache.result_bytes, cache.insertion_order.len()),
+        (None, 0, 0)
+    );
 }
 
 #[test]
@@ -70,9 +73,9 @@
         cache.store_result(&dedup_key(&id), &id, &vec![0; MAX_RESULT_BYTES / 2]);
     }
     assert!(cache.result_bytes <= MAX_RESULT_BYTES, "{}", cache.result_bytes);
-    assert_eq!(cache.result("0"), None, "the oldest result is dropped");
+    assert_eq!(cache.result(&dedup_key("0"), "0"), None, "the oldest result is dropped");
     assert_eq!(unexpired(&cache, &dedup_key("0"), 0).as_deref(), Some("0"), "its entry is kept");
-    assert_eq!(cache.result("2").map(<[u8]>::len), Some(MAX_RESULT_BYTES / 2));
+    assert_eq!(cache.result(&dedup_key("2"), "2").map(<[u8]>::len), Some(MAX_RESULT_BYTES / 2));
 }
 
 /// Guards against evicting an unexpired entry while the cache still contains expired ones.
