An orderly restart is logged as no name conflict

Operators were told that two processes use one name, for which the page says to end one of them, whenever a server was restarted in order within a second.

Cause: the earlier process counted as live if it was heard within the evidence timeout, though it had said that it leaves.

Evidence: the new process test, two orderly restarts, failed on the text before.

Change: a process that has said that it leaves is no rival.

--- a/crates/membership/src/membership/incoming.rs
+++ b/crates/membership/src/membership/incoming.rs
@@ -136,11 +136,12 @@
         })
     }
 
-    /// Handles a completed handshake: reports a name conflict if the previous process is live, and announces
-    /// this server.
+    /// Handles a completed handshake: reports a name conflict if the previous process is live and has not said
+    /// that it leaves, and announces this server.
     fn handle_proven(&mut self, now: Micros, name: &MemberName, earlier: EarlierProcess, boot_id: u64) {
         self.fencing.forget_claimant(name);
-        if earlier.boot_id != 0 && earlier.boot_id != boot_id && earlier.heard {
+        let left = self.records.get(name).is_some_and(|r| r.leaving_boot_id == Some(earlier.boot_id));
+        if earlier.boot_id != 0 && earlier.boot_id != boot_id && earlier.heard && !left {
             self.outbox.push_event(Event::NameConflict {
                 name: name.clone(),
                 earlier_boot_id: earlier.boot_id,
--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -271,6 +271,32 @@
     assert_invariants(fleet);
 }
 
+/// Guards against a false alarm: an orderly restart was logged as two processes that use one name, for which
+/// an operator ends one of them.
+#[test]
+fn an_orderly_restart_is_no_name_conflict() {
+    let mut fleet = start_converged_fleet(3);
+    for _ in 0..2 {
+        let before = member_view(&fleet, 0, 1)["boot"].as_u64();
+        fleet.servers[1].terminate();
+        assert!(fleet.servers[1].wait_for_exit().is_some_and(|status| status.success()));
+        fleet.servers[1].start().expect("the server starts");
+        fleet
+            .wait_until("server 0 to reach the new process", |fleet| {
+                member_view(fleet, 0, 1)["boot"].as_u64() > before && reaches(fleet, 0, 1)
+            })
+            .unwrap_or_panic();
+        fleet.wait_for_partition_status_everywhere("whole").unwrap_or_panic();
+    }
+    for server in [0, 2] {
+        fleet.servers[server].read_log();
+        let name = fleet.servers[server].name.clone();
+        let conflicts = fleet.history.log_lines(&name, "name conflict: two processes use one name");
+        assert!(conflicts.is_empty(), "{name}: {conflicts:?}");
+    }
+    assert_invariants(fleet);
+}
+
 #[test]
 fn a_second_process_with_a_name_at_another_address_is_fenced() {
     let mut fleet = start_fleet_with_duplicate_name();
