A check for signals misses none that has come, whichever thread was to handle it

Callers still lost the end of their runs now and then if the process stood still across SIGTERM on a busy machine.

Cause: a signal handler runs on any thread of the process. After a standstill the serving thread could check, and note that no SIGTERM had come, before the thread that had taken the signal ran its handler; the stop was then counted from after the standstill.

Change: the signals are blocked in all threads and read from a descriptor (signalfd, by nix, in place of signal-hook). A check finds each signal that has come, and pending ones are never lost: the kernel keeps one of each kind.

The soak prints how long after a request its connection ended.

--- a/crates/loadtest/src/soak/check.rs
+++ b/crates/loadtest/src/soak/check.rs
@@ -15,7 +15,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
     /// A request without a final answer.
-    Unanswered { id: String, written_before_kill: Duration },
+    Unanswered {
+        id: String,
+        written_before_kill: Duration,
+        /// How long after the request was written the client saw the end of its connection.
+        connection_ended_after: Option<Duration>,
+    },
     /// A request with more than one answer.
     AnsweredTwice { id: String },
     /// A request served with something that its run did not make.
@@ -39,8 +44,12 @@
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Violation::Unanswered { id, written_before_kill } => {
-                write!(f, "request {id} unanswered, written {written_before_kill:.0?} before the kill")
+            Violation::Unanswered { id, written_before_kill, connection_ended_after } => {
+                write!(f, "request {id} unanswered, written {written_before_kill:.0?} before the kill")?;
+                match connection_ended_after {
+                    Some(after) => write!(f, ", connection ended {after:.0?} after that"),
+                    None => Ok(()),
+                }
             }
             Violation::AnsweredTwice { id } => write!(f, "request {id} answered twice"),
             Violation::WrongResult { id } => write!(f, "request {id} served with another result"),
@@ -89,7 +98,9 @@
         None if record.crossed_the_close() || was_written_while_suspended(record, times) => None,
         None => {
             let written_before_kill = times.killed_at.saturating_duration_since(record.written_at);
-            Some(Violation::Unanswered { id, written_before_kill })
+            let connection_ended_after =
+                record.cut_off_at.map(|at| at.saturating_duration_since(record.written_at));
+            Some(Violation::Unanswered { id, written_before_kill, connection_ended_after })
         }
     }
 }
--- a/crates/loadtest/src/soak/fleet_play.rs
+++ b/crates/loadtest/src/soak/fleet_play.rs
@@ -136,7 +136,8 @@
         Outcome::Extra => Some(Violation::AnsweredTwice { id }),
         Outcome::Broken | Outcome::Lost => {
             let written_before_kill = Duration::from_micros(killed_at_us.saturating_sub(request.at_us));
-            Some(Violation::Unanswered { id, written_before_kill })
+            let connection_ended_after = Some(request.took);
+            Some(Violation::Unanswered { id, written_before_kill, connection_ended_after })
         }
     }
 }
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -1,16 +1,11 @@
 //! Receives the signals of the operating system.
 
-use std::io::{ErrorKind, Read};
-use std::os::unix::net::UnixStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::flag;
-use signal_hook::low_level::pipe;
+use nix::sys::signal::{SigSet, Signal};
+use nix::sys::signalfd::{SfdFlags, SignalFd};
 use umberloom::interface::Micros;
 
 use super::clock::Clock;
@@ -34,31 +29,28 @@
 
 /// Receives signals from the moment it is created.
 ///
-/// The signal handlers set flags, of which none can be lost however many signals come, and write to a socket
-/// only to wake the server.
+/// The signals are blocked in all threads and read from a descriptor, not handled: a check then finds each
+/// signal that has come. A handler would run on any thread, and a check that comes before it would miss a
+/// signal that has come long ago.
 pub struct SignalListener {
-    shutdown: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
-    wakeups: Async<UnixStream>,
+    signals: Async<SignalFd>,
     clock: Clock,
     /// The last time at which no shutdown signal had come.
     last_check: Micros,
+    /// A reload was requested and not returned yet.
+    reload_requested: bool,
 }
 
 impl SignalListener {
     /// Starts to listen for SIGTERM, SIGINT and SIGHUP. Without a listener each of these would end the
-    /// process.
+    /// process. This must be called before any other thread is started, as threads inherit which signals are
+    /// blocked.
     pub fn new(clock: Clock) -> std::io::Result<SignalListener> {
         let last_check = clock.now();
-        let (wakeups, wake_sender) = UnixStream::pair()?;
-        let wakeups = Async::new(wakeups)?;
-        let (shutdown, reload) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
-        for (signal, flag) in [(SIGTERM, &shutdown), (SIGINT, &shutdown), (SIGHUP, &reload)] {
-            // Handlers run in the order of their registration: the flag is set before the server wakes.
-            flag::register(signal, flag.clone())?;
-            pipe::register(signal, wake_sender.try_clone()?)?;
-        }
-        Ok(SignalListener { shutdown, reload, wakeups, clock, last_check })
+        let signals: SigSet = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect();
+        signals.thread_block()?;
+        let descriptor = SignalFd::with_flags(&signals, SfdFlags::SFD_CLOEXEC | SfdFlags::SFD_NONBLOCK)?;
+        Ok(SignalListener { signals: Async::new(descriptor)?, clock, last_check, reload_requested: false })
     }
 
     /// Waits for the next request. A shutdown takes precedence over a reload.
@@ -68,8 +60,8 @@
                 return request;
             }
             let woken = async {
-                // If the socket failed, signals would still be found at the next check.
-                if self.wakeups.readable().await.is_err() {
+                // If the wait failed, signals would still be found at the next check.
+                if self.signals.readable().await.is_err() {
                     future::pending::<()>().await;
                 }
             };
@@ -77,31 +69,26 @@
                 Timer::after(CHECK_INTERVAL).await;
             };
             future::or(woken, check_due).await;
-            self.discard_wakeups();
         }
     }
 
     /// Checks for signals without waiting.
     fn check(&mut self) -> Option<SignalRequest> {
-        // The time is read before the flag: a signal that is not found comes later than that.
+        // The time is read first: a signal that is not found comes later than that.
         let now = self.clock.now();
-        if self.shutdown.swap(false, Ordering::SeqCst) {
+        let mut shutdown_requested = false;
+        while let Ok(Some(signal)) = self.signals.get_ref().read_signal() {
+            if signal.ssi_signo == Signal::SIGHUP as u32 {
+                self.reload_requested = true;
+            } else {
+                shutdown_requested = true;
+            }
+        }
+        if shutdown_requested {
             return Some(SignalRequest::Shutdown { not_before: self.last_check });
         }
         self.last_check = now;
-        self.reload.swap(false, Ordering::SeqCst).then_some(SignalRequest::Reload)
-    }
-
-    fn discard_wakeups(&self) {
-        let mut buffer = [0; 256];
-        loop {
-            match self.wakeups.get_ref().read(&mut buffer) {
-                Ok(0) => return,
-                Ok(_) => {}
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return,
-            }
-        }
+        std::mem::take(&mut self.reload_requested).then_some(SignalRequest::Reload)
     }
 }
 
