A move of the agent ends its old link only once all commands on it are acknowledged

What callers saw: nothing for reads; a request that may not run twice would have had its effect twice.

Cause: a reload with another address of the agent closed the link at once. Launches that no sample had acknowledged were written again on the new link after the answer to its first sample. A run that ends between that answer and the reading of the repeated launch is started once more.

Why this works: on a change of address a last sample is written on the old link and all other commands are held back. Commands are read in their order, so its answer acknowledges everything written; nothing is left to be repeated.

--- a/crates/protocol-fakes/src/agent.rs
+++ b/crates/protocol-fakes/src/agent.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -69,7 +69,19 @@
 
     /// Processes the next message from the server, or a new link.
     fn process_next(&mut self) {
-        match self.incoming.recv_timeout(WAIT_TIMEOUT).expect("a message from the server") {
+        let incoming = self.incoming.recv_timeout(WAIT_TIMEOUT).expect("a message from the server");
+        self.process(incoming);
+    }
+
+    /// Processes messages until the server has sent none for this long.
+    pub fn process_until_quiet(&mut self, quiet: Duration) {
+        while let Ok(incoming) = self.incoming.recv_timeout(quiet) {
+            self.process(incoming);
+        }
+    }
+
+    fn process(&mut self, incoming: Incoming) {
+        match incoming {
             Incoming::Link(link) => self.link = Some(link),
             Incoming::Line(line) => match line["op"].as_str() {
                 Some("subscribe") => self.subscribed_seqs.push(line["seq"].as_u64().expect("a number")),
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -2,7 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
@@ -28,6 +28,9 @@
 const MALFORMED_BACKOFF: Duration = Duration::from_millis(200);
 /// Time limit for one attempt to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a link to the agent's old address stays open for the acknowledgement of the commands written on
+/// it.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The actor that keeps the link to the agent.
 pub struct AgentActor {
@@ -49,6 +52,9 @@
     output: Vec<u8>,
     /// Whether the agent's greeting has arrived; the commands of the log are sent only after it.
     greeted: bool,
+    /// Once the agent's address has changed: when the link is closed even if the commands written on it have
+    /// not been acknowledged.
+    handover_deadline: Option<Instant>,
 }
 
 /// Why a link ended.
@@ -119,7 +125,11 @@
         match end {
             LinkEnd::ShuttingDown => {}
             LinkEnd::Lost(e) => warn!(self.log, "agent link lost"; "error" => %e),
-            LinkEnd::AddressChanged => info!(self.log, "agent address changed"; "address" => %self.address),
+            LinkEnd::AddressChanged => {
+                let unacknowledged = self.command_log.unacknowledged();
+                info!(self.log, "agent address changed";
+                    "address" => %self.address, "unacknowledged_commands" => unacknowledged);
+            }
             LinkEnd::ClosedByAgent => warn!(self.log, "agent link closed by agent"),
             LinkEnd::Malformed(e) => warn!(self.log, "agent link closed: malformed input"; "error" => %e),
         }
@@ -130,7 +140,7 @@
         let subscribe = Command::Subscribe { seq: self.last_notice }.encode();
         let buffer = Buffer::new(jsonl::MAX_LINE_BYTES);
         self.status.set(AgentLinkState::AwaitingGreeting);
-        let mut link = Link { stream, buffer, output: subscribe, greeted: false };
+        let mut link = Link { stream, buffer, output: subscribe, greeted: false, handover_deadline: None };
         loop {
             if let Err(end) = self.step(&mut link).await {
                 return (end, link.greeted);
@@ -143,6 +153,9 @@
     /// Writes commands and handles what has arrived; waits if there was neither.
     async fn step(&mut self, link: &mut Link) -> Result<(), LinkEnd> {
         if self.drain_mailbox() {
+            self.begin_handover(link)?;
+        }
+        if link.handover_deadline.is_some() && !self.command_log.awaits_marker() {
             return Err(LinkEnd::AddressChanged);
         }
         if link.greeted && link.output.is_empty() {
@@ -155,17 +168,40 @@
             ReadResult::Closed => return Err(LinkEnd::ClosedByAgent),
             ReadResult::WouldBlock => {}
         }
+        if link.handover_deadline.is_some_and(|deadline| Instant::now() >= deadline) {
+            return Err(LinkEnd::AddressChanged);
+        }
         if written > 0 {
             return Ok(());
         }
         match self.wait(link).await? {
-            Some(message) if self.handle_message(&message) => Err(LinkEnd::AddressChanged),
+            Some(message) if self.handle_message(&message) => self.begin_handover(link),
             _ => Ok(()),
         }
     }
 
-    /// Waits until the link can be read or written (`None`) or a message arrives. A full command log takes no
-    /// messages.
+    /// Prepares for the end of a link whose agent is at another address now.
+    ///
+    /// Commands that the agent may not have read would be replayed on the next link, and a run can end
+    /// between the agent's last notice there and its reading of the replayed launch. So the link is closed
+    /// only once all commands written on it have been acknowledged, or after [`HANDOVER_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// [`LinkEnd::AddressChanged`] if there is nothing to wait for.
+    fn begin_handover(&mut self, link: &mut Link) -> Result<(), LinkEnd> {
+        if link.handover_deadline.is_some() {
+            return Ok(());
+        }
+        if !link.greeted || !self.command_log.request_acknowledgement() {
+            return Err(LinkEnd::AddressChanged);
+        }
+        link.handover_deadline = Some(Instant::now() + HANDOVER_TIMEOUT);
+        Ok(())
+    }
+
+    /// Waits until the link can be read or written or its handover is over (`None`), or a message arrives. A
+    /// full command log takes no messages.
     async fn wait(&self, link: &Link) -> Result<Option<AgentActorMessage>, LinkEnd> {
         let has_room = self.command_log.len() < MAILBOX_CAPACITY;
         let message = async {
@@ -181,12 +217,18 @@
             }
             link.stream.writable().await.map(|()| None).map_err(LinkEnd::Lost)
         };
-        future::or(readable, future::or(writable, message)).await
+        let handover_over = async {
+            match link.handover_deadline {
+                Some(deadline) => drop(Timer::at(deadline).await),
+                None => future::pending().await,
+            }
+            Ok(None)
+        };
+        future::or(readable, future::or(writable, future::or(message, handover_over))).await
     }
 
     /// Handles waiting messages while the command log has room; returns whether the agent's address has
-    /// changed. Commands written to the old address that may not have been read there stay in the command
-    /// log, which replays them on the new link.
+    /// changed.
     fn drain_mailbox(&mut self) -> bool {
         let mut address_changed = false;
         while self.command_log.len() < MAILBOX_CAPACITY {
@@ -256,7 +298,7 @@
             Notice::GaugesSampled { tag, values } => {
                 let admission_tag = self.command_log.sample_answered(&tag);
                 self.status.record_sample();
-                if !self.command_log.awaits_missed_notices() {
+                if !self.command_log.awaits_marker() {
                     self.status.set(AgentLinkState::Up);
                 }
                 match admission_tag {
--- a/crates/server/src/peers/command_log.rs
+++ b/crates/server/src/peers/command_log.rs
@@ -18,8 +18,9 @@
     Reply,
     /// Asks for gauges or a health check. It is not replayed on a new link.
     Query,
-    /// A sample that the log itself requests on a new link. Its answer marks the end of the notices missed
-    /// since the last link broke.
+    /// A sample that the log itself requests, and whose answer it awaits before anything else is written. At
+    /// the start of a link the answer marks the end of the notices missed without one; at the end it
+    /// acknowledges all that was written.
     Marker,
 }
 
@@ -42,7 +43,7 @@
     /// Number of entries at the front that were written on the current link.
     written: usize,
     last_number: u64,
-    /// On a new link, the number of the sample whose answer shows that all missed notices have been received.
+    /// The number of the marker whose answer is awaited.
     marker: Option<u64>,
 }
 
@@ -107,11 +108,27 @@
     pub fn restart_link(&mut self) {
         self.entries.retain(|e| !matches!(e.kind, EntryKind::Query | EntryKind::Marker));
         self.written = 0;
+        self.insert_marker();
+    }
+
+    /// Prepares for the end of a link: asks for the acknowledgement of all commands written on it, and holds
+    /// back all others. Returns whether there is any to ask for: not if no command was written that would be
+    /// replayed, nor while the answer to a marker is awaited already.
+    pub fn request_acknowledgement(&mut self) -> bool {
+        if self.awaits_marker() || self.unacknowledged() == 0 {
+            return false;
+        }
+        self.insert_marker();
+        true
+    }
+
+    /// Inserts a marker behind the commands written on the current link.
+    fn insert_marker(&mut self) {
         self.last_number += 1;
         let wire_tag = self.last_number.to_string();
         let line = Command::Sample { tag: &wire_tag }.encode();
         let entry = Entry { number: self.last_number, kind: EntryKind::Marker, id: "".into(), tag: 0, line };
-        self.entries.push_front(entry);
+        self.entries.insert(self.written, entry);
         self.marker = Some(self.last_number);
     }
 
@@ -130,11 +147,17 @@
         tag
     }
 
-    /// Whether notices missed without a link may still arrive, so that no other command is written.
-    pub fn awaits_missed_notices(&self) -> bool {
+    /// Whether the answer to a marker is awaited, so that no other command is written.
+    pub fn awaits_marker(&self) -> bool {
         self.marker.is_some()
     }
 
+    /// Number of commands that were written on the current link and would be replayed on the next.
+    pub fn unacknowledged(&self) -> usize {
+        let written = self.entries.iter().take(self.written);
+        written.filter(|e| !matches!(e.kind, EntryKind::Query | EntryKind::Marker)).count()
+    }
+
     /// Handles the answer to the health check with tag `wire_tag`. The agent answers these out of order, so
     /// the answer acknowledges no other command. Returns the tag that admission gave the health check.
     pub fn health_check_answered(&mut self, wire_tag: &str) -> Option<u64> {
--- a/crates/server/src/peers/command_log/tests.rs
+++ b/crates/server/src/peers/command_log/tests.rs
@@ -90,3 +90,25 @@
     }
     assert_eq!(command_log.len(), 3);
 }
+
+#[test]
+fn nothing_else_is_written_until_the_commands_on_a_link_that_ends_are_acknowledged() {
+    let mut command_log = caught_up_log();
+    command_log.push(&AgentCommand::SampleGauges(7));
+    command_log.take_lines(9_999);
+    // A query is not replayed, so there is nothing to acknowledge.
+    assert!(!command_log.request_acknowledgement());
+    command_log.push(&launch("a"));
+    command_log.take_lines(9_999);
+    command_log.push(&launch("later"));
+    assert!(command_log.request_acknowledgement());
+    assert!(!command_log.request_acknowledgement());
+    assert_eq!(ops(&command_log.take_lines(9_999)), ["sample "]);
+    assert_eq!((command_log.awaits_marker(), command_log.unacknowledged()), (true, 1));
+    assert_eq!(command_log.sample_answered("5"), None);
+    assert_eq!((command_log.awaits_marker(), command_log.unacknowledged()), (false, 0));
+    command_log.restart_link();
+    assert_eq!(ops(&command_log.take_lines(9_999)), ["sample "]);
+    assert_eq!(command_log.sample_answered("6"), None);
+    assert_eq!(ops(&command_log.take_lines(9_999)), ["launch later"]);
+}
--- /dev/null
+++ b/crates/server/tests/agent_link.rs
@@ -0,0 +1,76 @@
+//! Commands that the agent may not have read when its link ends.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{classes_by_idempotency, eventually, request_of_class, Agent, Balancer, TestEnvironment};
+use serde_json::{json, Value};
+
+/// The classes of [`classes_by_idempotency`].
+const CLASSES: [&str; 3] = ["search", "book", "room"];
+/// Time in which the server applies a reload that it has logged.
+const RELOAD_TIME: Duration = Duration::from_millis(20);
+/// A link on which no message has come for this long has ended: samples are requested far more often.
+const QUIET_TIME: Duration = Duration::from_millis(100);
+
+/// Sends a request of each class and waits until its run is launched. The agent answers no sample from now
+/// on, so that no launch is acknowledged.
+fn launch_unacknowledged(env: &mut TestEnvironment, balancer: &mut Balancer) {
+    env.agent.wait_for_samples(2);
+    env.agent.answers_samples = false;
+    for (slot, class) in (1..).zip(CLASSES) {
+        balancer.send(&request_of_class(slot, class, class));
+        assert_eq!(env.agent.expect_command("launch").0, class);
+    }
+}
+
+/// Moves the agent to a new address, and returns the end of its link at the old one once the server has handled
+/// the reload.
+fn move_agent(env: &mut TestEnvironment) -> Agent {
+    let agent = Agent::start();
+    let address = agent.address;
+    env.reconfigure(|config| config["agent"] = json!(address));
+    let old_agent = std::mem::replace(&mut env.agent, agent);
+    eventually("the reload", || env.log().contains("configuration reloaded").then_some(()));
+    std::thread::sleep(RELOAD_TIME);
+    old_agent
+}
+
+/// The next command that is not about pausing a run.
+fn next_command(agent: &mut Agent) -> Value {
+    loop {
+        let command = agent.next_command();
+        if command["op"] != "freeze" {
+            return command;
+        }
+    }
+}
+
+/// Ends the run of each class and asserts that each request is answered with its result, and that the next
+/// command is the launch of a later request.
+fn assert_runs_end_once(env: &mut TestEnvironment, balancer: &mut Balancer) {
+    for (slot, class) in (1..).zip(CLASSES) {
+        env.agent.send_outcome(class, "fine", class.as_bytes());
+        let answer = balancer.answer();
+        assert_eq!((answer.slot, answer.body.as_slice()), (slot, class.as_bytes()));
+    }
+    balancer.send(&request_of_class(4, "later", "search"));
+    let command = next_command(&mut env.agent);
+    assert_eq!((&command["op"], &command["id"]), (&json!("launch"), &json!("later")));
+}
+
+/// Guards against a second run when the agent's address changes: the runs end just after the agent has
+/// answered the first sample at its new address.
+#[test]
+fn runs_that_end_while_the_agent_moves_are_not_launched_again() {
+    let mut env = TestEnvironment::start_registered(classes_by_idempotency);
+    let mut balancer = env.balancer();
+    launch_unacknowledged(&mut env, &mut balancer);
+    let mut old_agent = move_agent(&mut env);
+    old_agent.answers_samples = true;
+    old_agent.process_until_quiet(QUIET_TIME);
+    env.agent.send_initial_notice();
+    env.agent.wait_for_samples(1);
+    assert_runs_end_once(&mut env, &mut balancer);
+}
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -7,6 +7,8 @@
 use std::path::Path;
 use std::process::Output;
 
+use serde_json::{json, Value};
+
 pub use umberloom_protocol_fakes::test_environment::{
     eventually, settings, unix_ms, ConfigChange, WAIT_TIMEOUT,
 };
@@ -75,6 +77,21 @@
     }
 }
 
+/// Makes class `book` non-idempotent, gives `room` idempotency keys, and leaves `search` idempotent. No call
+/// may be skipped.
+pub fn classes_by_idempotency(config: &mut Value) {
+    config["stop_ms"] = 3_000.into();
+    config["settings"]["family_info"]["class_skip_worth"] = json!([0.0, 0.0, 0.0]);
+    config["settings"]["family_info"]["class_calls"] = json!([true, true, true]);
+    config["settings"]["classes"][1]["effect"] = "non_idempotent".into();
+    config["settings"]["classes"][2]["effect"] = "idempotency_key".into();
+}
+
+/// A request of the given class, with its id as the idempotency key.
+pub fn request_of_class(slot: u16, id: &str, class: &str) -> Request {
+    Request::new(slot, id).with("SCRIPT_NAME", &format!("/svc/{class}")).with("HTTP_ONCE_KEY", id)
+}
+
 /// Runs the program with these arguments, and with a configuration if given, until it exits.
 pub fn run_program(arguments: &[&str], config: Option<&str>) -> Output {
     umberloom_protocol_fakes::test_environment::run_program(server_executable(), arguments, config)
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -10,9 +10,12 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use serde_json::{json, Value};
+use serde_json::json;
 
-use common::{eventually, Announce, Balancer, Request, TestEnvironment, WAIT_TIMEOUT};
+use common::{
+    classes_by_idempotency, eventually, request_of_class, Announce, Balancer, Request, TestEnvironment,
+    WAIT_TIMEOUT,
+};
 
 /// Lowers the descriptor limit of the running server so that it can't open any further descriptor.
 fn exhaust_descriptors(env: &TestEnvironment) {
@@ -163,21 +166,6 @@
     assert!(ready_in_time >= 27, "{ready_in_time} of 30");
 }
 
-/// Makes class `book` non-idempotent, gives `room` idempotency keys, and leaves `search` idempotent. No call
-/// may be skipped.
-fn classes_by_idempotency(config: &mut Value) {
-    config["stop_ms"] = 3_000.into();
-    config["settings"]["family_info"]["class_skip_worth"] = json!([0.0, 0.0, 0.0]);
-    config["settings"]["family_info"]["class_calls"] = json!([true, true, true]);
-    config["settings"]["classes"][1]["effect"] = "non_idempotent".into();
-    config["settings"]["classes"][2]["effect"] = "idempotency_key".into();
-}
-
-/// A request of the given class, with its id as the idempotency key.
-fn request_of_class(slot: u16, id: &str, class: &str) -> Request {
-    Request::new(slot, id).with("SCRIPT_NAME", &format!("/svc/{class}")).with("HTTP_ONCE_KEY", id)
-}
-
 /// Guards against a call that takes effect twice: the records service closes a pooled connection after it has
 /// read the next call on it. Only an idempotent call is retried.
 #[test]
