A launch that may have been read is repeated on a new link only if it may run twice

What callers saw: a keyed or unsafe request could take effect twice if the link to the agent broke, or if its old address did not answer during a move.

Change: such launches are repeated in idempotent classes only. In others the request waits for its outcome, which comes as a rule, since the agent has usually read the launch; else it fails at its deadline, its key stays taken and its place is free again with the answer. Commands whose first byte the socket did not take are unread for sure and are still written; the end of a link is looked for before each write, so that nothing is written after it was seen.

Unit tests of the command log and of the place that becomes free. The test that a new link resumes where the last one was cut is unchanged: it is about a read.

Not closed: a read on a broken link may run twice in that time, which the protocol allows; a repeated reply to a call, see docs/ROADMAP.md.

--- a/crates/server/src/admission/actions.rs
+++ b/crates/server/src/admission/actions.rs
@@ -1,7 +1,7 @@
 //! Execution of the admission controller's actions.
 
 use slog::debug;
-use umberloom::interface::{Action, Event, Micros, Outcome, RequestId};
+use umberloom::interface::{Action, Event, Idempotency, Micros, Outcome, RequestId};
 
 use super::AdmissionActor;
 use crate::memory::request_table::RunState;
@@ -48,6 +48,11 @@
                 id: id.clone(),
                 class: request.work.class.clone(),
                 body: request.body.clone(),
+                repeatable: self
+                    .settings
+                    .classes
+                    .get(request.class)
+                    .is_some_and(|class| class.idempotency == Idempotency::Idempotent),
             },
         };
         let (previous_run, had_run) = (request.run, request.has_run);
--- a/crates/server/src/admission/agent_events.rs
+++ b/crates/server/src/admission/agent_events.rs
@@ -39,6 +39,15 @@
         self.set_accepting(self.ready.unwrap_or(!is_draining));
     }
 
+    /// Handles a launch that the agent may never have read and that must not be repeated. If the run is in
+    /// progress, its result arrives as usual. Once the request is answered, the run counts as ended, as the
+    /// agent may never report its end.
+    pub(super) fn handle_uncertain_launch(&mut self, id: &str) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.launch_uncertain = true;
+        self.remove_if_ended(id);
+    }
+
     /// Handles the end of a run.
     pub(super) fn handle_run_end(&mut self, id: &str, run_outcome: RunOutcome, duration: Micros) {
         let Some(request) = self.requests.get_mut(id) else { return };
@@ -64,6 +73,7 @@
     fn update_run_state(&mut self, id: &RequestId, was_aborted_by_preemption: bool) {
         let Some(request) = self.requests.get_mut(id) else { return };
         request.preempting = false;
+        request.launch_uncertain = false;
         // The controller decides on an unanswered request whose run was preempted.
         let is_preempted = was_aborted_by_preemption && request.reply_to.is_some();
         let is_paused = is_preempted && self.settings.preemption == Preemption::Pause;
--- a/crates/server/src/admission/arrivals.rs
+++ b/crates/server/src/admission/arrivals.rs
@@ -159,6 +159,7 @@
             reply_to: Some(reply_to),
             run: RunState::NotRunning,
             has_run: false,
+            launch_uncertain: false,
             preempting: false,
             call: None,
             had_call_plan: false,
--- a/crates/server/src/admission/calls.rs
+++ b/crates/server/src/admission/calls.rs
@@ -15,6 +15,7 @@
     /// Handles the agent's notice that a run waits for a downstream call.
     pub(super) fn handle_needs_call(&mut self, id: &str, notice_seq: u64, body: Vec<u8>) {
         let Some(request) = self.requests.get_mut(id) else { return };
+        request.launch_uncertain = false;
         request.call = Some(PendingCall { notice_seq, body, in_flight: false });
         self.events.push(Event::NeedsCall(request.id.clone()));
     }
--- a/crates/server/src/admission/mod.rs
+++ b/crates/server/src/admission/mod.rs
@@ -219,6 +219,7 @@
             AdmissionMessage::Cancelled { id, serial } => self.handle_cancellation(&id, serial),
             AdmissionMessage::AgentUp { uptime } => self.handle_agent_up(now, uptime),
             AdmissionMessage::AgentLinkLost => self.fail_health_checks(),
+            AdmissionMessage::LaunchUncertain { id } => self.handle_uncertain_launch(&id),
             AdmissionMessage::RunEnded { id, outcome, duration } => {
                 self.handle_run_end(&id, outcome, duration);
             }
--- a/crates/server/src/admission/responses.rs
+++ b/crates/server/src/admission/responses.rs
@@ -61,9 +61,14 @@
     /// Removes a request if it is answered and not running. Duplicates that still wait for its result fail.
     pub(super) fn remove_if_ended(&mut self, id: &str) {
         let Some(request) = self.requests.get_mut(id) else { return };
-        if request.reply_to.is_some() || request.run == RunState::Running {
+        let is_running = request.run == RunState::Running;
+        if request.reply_to.is_some() || (is_running && !request.launch_uncertain) {
             return;
         }
+        if is_running {
+            let ended = Event::RunEnded(request.id.clone(), Outcome::Aborted, 0);
+            self.deferred_events.push_back(ended);
+        }
         if !request.has_run {
             // A request that never ran must not prevent another attempt from running.
             self.release_key(id);
--- a/crates/server/src/admission/tests/runs.rs
+++ b/crates/server/src/admission/tests/runs.rs
@@ -28,7 +28,12 @@
 
 #[test]
 fn preempted_run_is_resumed_if_paused_and_relaunched_if_aborted() {
-    let launch = AgentCommand::Launch { id: "a".into(), class: "desk-search".into(), body: b"body".to_vec() };
+    let launch = AgentCommand::Launch {
+        id: "a".into(),
+        class: "desk-search".into(),
+        body: b"body".to_vec(),
+        repeatable: true,
+    };
     for (preemption, next_command) in
         [(Preemption::Pause, AgentCommand::Resume("a".into())), (Preemption::Abort, launch)]
     {
@@ -74,6 +79,64 @@
     );
 }
 
+#[test]
+fn launch_is_repeatable_only_in_an_idempotent_class() {
+    for (idempotency, is_repeatable) in
+        [(Idempotency::Idempotent, true), (Idempotency::WithKey, false), (Idempotency::NotIdempotent, false)]
+    {
+        let mut settings = settings(Preemption::Never);
+        settings.classes[0].idempotency = idempotency;
+        let mut fixture = fixture_with(settings);
+        let work = fixture.work_request_with_key("a", "k");
+        fixture.send_work_request(NOW, work, 0, b"");
+        fixture.execute(Action::Admit("a".into()));
+        let commands = fixture.take_agent_commands();
+        let [AgentCommand::Launch { repeatable, .. }] = commands[..] else { panic!("{commands:?}") };
+        assert_eq!(repeatable, is_repeatable, "{idempotency:?}");
+    }
+}
+
+/// Guards against a place that stays taken for good: no end is ever reported of a run whose launch the agent
+/// has not read.
+#[test]
+fn run_of_an_uncertain_launch_counts_as_ended_once_its_request_is_answered() {
+    let uncertain = || AdmissionMessage::LaunchUncertain { id: "a".into() };
+    for is_answered_before in [false, true] {
+        let mut fixture = fixture_with_keys();
+        fixture.send_attempt(NOW, "a", 0, "k");
+        fixture.execute(Action::Admit("a".into()));
+        fixture.take_events();
+        if is_answered_before {
+            fixture.execute(Action::Fail("a".into()));
+            fixture.send(uncertain());
+        } else {
+            fixture.send(uncertain());
+            assert_eq!(fixture.take_responses(), []);
+            fixture.execute(Action::Fail("a".into()));
+        }
+        assert_eq!(fixture.take_responses(), [(1, Response::Failed)]);
+        assert_eq!(fixture.take_events(), [r#"RunEnded("a", Aborted, 0)"#]);
+        assert_eq!(fixture.actor.requests.len(), 0);
+        // It may have run, so another attempt must not.
+        assert_eq!(fixture.send_attempt(NOW + 1, "b", 0, "k").as_deref(), Some("a"));
+        fixture.execute(Action::AwaitDuplicate("b".into()));
+        assert_eq!(fixture.take_responses(), [(2, Response::Failed)]);
+    }
+}
+
+#[test]
+fn request_of_an_uncertain_launch_gets_the_result_of_its_run() {
+    let mut fixture = fixture_with_keys();
+    fixture.send_attempt(NOW, "a", 0, "k");
+    fixture.execute(Action::Admit("a".into()));
+    fixture.take_events();
+    fixture.send(AdmissionMessage::LaunchUncertain { id: "a".into() });
+    fixture.end_run("a", RunOutcome::Success(b"r".to_vec()));
+    assert_eq!(fixture.take_responses(), [(1, Response::Served(b"r".to_vec()))]);
+    assert_eq!(fixture.take_events(), [r#"RunEnded("a", Ok, 9)"#]);
+    assert_eq!(fixture.actor.requests.len(), 0);
+}
+
 #[test]
 fn only_a_rejected_launch_command_ends_the_request() {
     let mut fixture = fixture(Preemption::Pause);
--- a/crates/server/src/dependency_calls/tests.rs
+++ b/crates/server/src/dependency_calls/tests.rs
@@ -54,6 +54,7 @@
         reply_to: Some(ReplyTo::new(async_channel::bounded(1).0, 1, 1)),
         run: RunState::Running,
         has_run: true,
+        launch_uncertain: false,
         preempting: false,
         call: None,
         had_call_plan: false,
--- a/crates/server/src/memory/request_table.rs
+++ b/crates/server/src/memory/request_table.rs
@@ -49,6 +49,8 @@
     pub run: RunState,
     /// Whether a run was ever launched, so that the request may have taken effect.
     pub has_run: bool,
+    /// Whether the agent may never have read the launch of the run, so that it may report nothing about it.
+    pub launch_uncertain: bool,
     /// Whether the run has been told to stop and has not ended yet.
     pub preempting: bool,
     /// The downstream call that the run waits for.
--- a/crates/server/src/messages/agent.rs
+++ b/crates/server/src/messages/agent.rs
@@ -15,6 +15,9 @@
         class: String,
         /// Body of the request.
         body: Vec<u8>,
+        /// Whether the command may be repeated on a new link although the agent may have read it. The run may
+        /// have ended by then, and would be started again.
+        repeatable: bool,
     },
     /// Stops the run of this request (preemption).
     Pause(RequestId),
--- a/crates/server/src/messages/mod.rs
+++ b/crates/server/src/messages/mod.rs
@@ -52,6 +52,12 @@
     },
     /// The link to the agent is lost.
     AgentLinkLost,
+    /// A link ended before the agent acknowledged the launch of a run that must not be launched again. The run
+    /// may be in progress, or may never have been started.
+    LaunchUncertain {
+        /// Id of the request.
+        id: RequestId,
+    },
     /// A run has ended.
     RunEnded {
         /// Id of the request.
--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -141,13 +141,17 @@
         let buffer = Buffer::new(jsonl::MAX_LINE_BYTES);
         self.status.set(AgentLinkState::AwaitingGreeting);
         let mut link = Link { stream, buffer, output: subscribe, greeted: false, handover_deadline: None };
-        loop {
+        let end = loop {
             if let Err(end) = self.step(&mut link).await {
-                return (end, link.greeted);
+                break end;
             }
             // An agent that never stops sending must not block the other actors.
             future::yield_now().await;
+        };
+        if link.greeted {
+            self.command_log.end_link(link.output.len());
         }
+        (end, link.greeted)
     }
 
     /// Writes commands and handles what has arrived; waits if there was neither.
@@ -158,15 +162,18 @@
         if link.handover_deadline.is_some() && !self.command_log.awaits_marker() {
             return Err(LinkEnd::AddressChanged);
         }
+        // The agent reads nothing that is written after it has closed the link, so its end is looked for first.
+        let read = stream::read(&link.stream, &mut link.buffer).map_err(LinkEnd::Lost)?;
+        if read == ReadResult::Closed {
+            return Err(LinkEnd::ClosedByAgent);
+        }
         if link.greeted && link.output.is_empty() {
             link.output = self.command_log.take_lines(MAX_WRITE_BYTES);
         }
         let written = stream::write(&link.stream, &link.output).map_err(LinkEnd::Lost)?;
         link.output.drain(..written);
-        match stream::read(&link.stream, &mut link.buffer).map_err(LinkEnd::Lost)? {
-            ReadResult::Bytes(_) => return self.handle_lines(link).await,
-            ReadResult::Closed => return Err(LinkEnd::ClosedByAgent),
-            ReadResult::WouldBlock => {}
+        if matches!(read, ReadResult::Bytes(_)) {
+            return self.handle_lines(link).await;
         }
         if link.handover_deadline.is_some_and(|deadline| Instant::now() >= deadline) {
             return Err(LinkEnd::AddressChanged);
@@ -260,8 +267,8 @@
             let (notice, seq) = parsed.map_err(LinkEnd::Malformed)?;
             if matches!(notice, Notice::Greeting { .. }) && !link.greeted {
                 link.greeted = true;
-                self.command_log.restart_link();
                 self.status.set(AgentLinkState::AwaitingMissedNotices);
+                self.restart_command_log().await?;
             }
             if seq.is_some_and(|seq| seq <= self.last_notice) {
                 continue;
@@ -280,6 +287,16 @@
         Ok(())
     }
 
+    /// Prepares the command log for a new link, and tells admission which launches are not repeated on it.
+    async fn restart_command_log(&mut self) -> Result<(), LinkEnd> {
+        for id in self.command_log.restart_link() {
+            warn!(self.log, "launch may not have been read by the agent"; "request" => &*id);
+            let message = AdmissionMessage::LaunchUncertain { id };
+            self.admission.send(message).await.map_err(|_| LinkEnd::ShuttingDown)?;
+        }
+        Ok(())
+    }
+
     /// Updates the command log and passes the notice on to admission.
     async fn handle_notice(&mut self, notice: Notice) -> Result<(), LinkEnd> {
         let message = match notice {
--- a/crates/server/src/peers/command_log.rs
+++ b/crates/server/src/peers/command_log.rs
@@ -1,5 +1,5 @@
 //! Commands that the agent has not acknowledged. They are replayed on a new link, so that no command is lost
-//! when a link breaks.
+//! when a link breaks; all but launches that the agent may have read and that must not be repeated.
 
 use std::collections::VecDeque;
 
@@ -10,8 +10,12 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EntryKind {
-    /// Starts or resumes a run.
-    Run,
+    /// Starts a run that may be started again.
+    Launch,
+    /// Starts a run that must not be started again.
+    LaunchOnce,
+    /// Resumes a run.
+    Resume,
     /// Pauses a run.
     Pause,
     /// Answers or skips a call.
@@ -34,6 +38,8 @@
     tag: u64,
     /// The encoded command.
     line: Vec<u8>,
+    /// Offset of the line among all lines of the current link, in bytes; set once it is written.
+    offset: usize,
 }
 
 /// Unacknowledged commands in their order; those already written on the current link come first.
@@ -42,6 +48,8 @@
     entries: VecDeque<Entry>,
     /// Number of entries at the front that were written on the current link.
     written: usize,
+    /// Size of all lines that were written on the current link, in bytes.
+    written_bytes: usize,
     last_number: u64,
     /// The number of the marker whose answer is awaited.
     marker: Option<u64>,
@@ -54,11 +62,12 @@
         let wire_tag = number.to_string();
         let no_request: RequestId = "".into();
         let (kind, id, tag, encoded) = match command {
-            AgentCommand::Launch { id, class, body } => {
-                (EntryKind::Run, id, 0, Command::Launch { id, class, body: encode_base64(body) })
+            AgentCommand::Launch { id, class, body, repeatable } => {
+                let kind = if *repeatable { EntryKind::Launch } else { EntryKind::LaunchOnce };
+                (kind, id, 0, Command::Launch { id, class, body: encode_base64(body) })
             }
             AgentCommand::Pause(id) => (EntryKind::Pause, id, 0, Command::Freeze { id }),
-            AgentCommand::Resume(id) => (EntryKind::Run, id, 0, Command::Thaw { id }),
+            AgentCommand::Resume(id) => (EntryKind::Resume, id, 0, Command::Thaw { id }),
             AgentCommand::DeliverReply { id, body } => {
                 (EntryKind::Reply, id, 0, Command::Deliver { id, body: encode_base64(body) })
             }
@@ -83,7 +92,7 @@
             return;
         }
         self.last_number = number;
-        let entry = Entry { number, kind, id: id.clone(), tag, line: encoded.encode() };
+        let entry = Entry { number, kind, id: id.clone(), tag, line: encoded.encode(), offset: 0 };
         self.entries.push_back(entry);
     }
 
@@ -91,24 +100,44 @@
     /// now.
     pub fn take_lines(&mut self, max_bytes: usize) -> Vec<u8> {
         let mut out = Vec::new();
-        while let Some(entry) = self.entries.get(self.written) {
+        while let Some(entry) = self.entries.get_mut(self.written) {
             let must_wait = self.marker.is_some_and(|marker| entry.number != marker);
             if must_wait || (!out.is_empty() && out.len() + entry.line.len() > max_bytes) {
                 break;
             }
             out.extend_from_slice(&entry.line);
+            entry.offset = self.written_bytes;
+            self.written_bytes += entry.line.len();
             self.written += 1;
         }
         out
     }
 
+    /// Handles the end of a link. The last `unsent_bytes` of the lines were never sent: the agent has read
+    /// none of the commands that begin there or later.
+    pub fn end_link(&mut self, unsent_bytes: usize) {
+        let sent_bytes = self.written_bytes.saturating_sub(unsent_bytes);
+        let written = self.entries.iter().take(self.written);
+        self.written = written.filter(|entry| entry.offset < sent_bytes).count();
+    }
+
     /// Prepares for a new link after its greeting: all commands written on the last link and not acknowledged
     /// are to be written again. Until the answer to a sample marks the end of the missed notices, nothing
-    /// else is written, as a run that ended meanwhile must not be started again.
-    pub fn restart_link(&mut self) {
-        self.entries.retain(|e| !matches!(e.kind, EntryKind::Query | EntryKind::Marker));
-        self.written = 0;
+    /// else is written, as a run that ended meanwhile must not be started again. It can still end between
+    /// that answer and the repeated launch; so launches that must not be repeated are dropped if the agent may
+    /// have read them. Returns the ids of their requests.
+    pub fn restart_link(&mut self) -> Vec<RequestId> {
+        let written = self.entries.iter().take(self.written);
+        let uncertain = written.filter(|e| e.kind == EntryKind::LaunchOnce).map(|e| e.id.clone()).collect();
+        let mut index = 0;
+        self.entries.retain(|e| {
+            index += 1;
+            let is_uncertain = e.kind == EntryKind::LaunchOnce && index <= self.written;
+            !is_uncertain && !matches!(e.kind, EntryKind::Query | EntryKind::Marker)
+        });
+        (self.written, self.written_bytes) = (0, 0);
         self.insert_marker();
+        uncertain
     }
 
     /// Prepares for the end of a link: asks for the acknowledgement of all commands written on it, and holds
@@ -127,7 +156,8 @@
         self.last_number += 1;
         let wire_tag = self.last_number.to_string();
         let line = Command::Sample { tag: &wire_tag }.encode();
-        let entry = Entry { number: self.last_number, kind: EntryKind::Marker, id: "".into(), tag: 0, line };
+        let (number, kind) = (self.last_number, EntryKind::Marker);
+        let entry = Entry { number, kind, id: "".into(), tag: 0, line, offset: 0 };
         self.entries.insert(self.written, entry);
         self.marker = Some(self.last_number);
     }
--- a/crates/server/src/peers/command_log/tests.rs
+++ b/crates/server/src/peers/command_log/tests.rs
@@ -11,7 +11,11 @@
 }
 
 fn launch(id: &str) -> AgentCommand {
-    AgentCommand::Launch { id: id.into(), class: "c".into(), body: vec![1] }
+    AgentCommand::Launch { id: id.into(), class: "c".into(), body: vec![1], repeatable: true }
+}
+
+fn launch_once(id: &str) -> AgentCommand {
+    AgentCommand::Launch { id: id.into(), class: "c".into(), body: vec![1], repeatable: false }
 }
 
 /// A command log on a new link, with the answer to its first sample received.
@@ -112,3 +116,30 @@
     assert_eq!(command_log.sample_answered("6"), None);
     assert_eq!(ops(&command_log.take_lines(9_999)), ["launch later"]);
 }
+
+/// Guards against a second run: a run can end between the last missed notice and the repeated launch.
+#[test]
+fn launches_that_must_not_be_repeated_are_not_replayed_if_they_may_have_been_read() {
+    let mut command_log = caught_up_log();
+    command_log.push(&launch_once("sent"));
+    command_log.push(&launch("repeatable"));
+    command_log.push(&launch_once("cut"));
+    command_log.push(&launch_once("unsent"));
+    let lines = command_log.take_lines(9_999);
+    command_log.push(&launch_once("unwritten"));
+    // The last line was not sent at all, and of the one before it only the first byte.
+    let line_lengths: Vec<usize> = lines.split_inclusive(|b| *b == b'\n').map(<[u8]>::len).collect();
+    command_log.end_link(line_lengths[2] - 1 + line_lengths[3]);
+    let uncertain = command_log.restart_link();
+    assert_eq!(uncertain.iter().map(|id| &**id).collect::<Vec<_>>(), ["sent", "cut"]);
+    assert_eq!(ops(&command_log.take_lines(9_999)), ["sample "]);
+    assert_eq!(command_log.sample_answered("7"), None);
+    let replayed = ["launch repeatable", "launch unsent", "launch unwritten"];
+    assert_eq!(ops(&command_log.take_lines(9_999)), replayed);
+    // Acknowledged commands are none of these.
+    command_log.push(&AgentCommand::SampleGauges(3));
+    command_log.take_lines(9_999);
+    command_log.sample_answered("8");
+    command_log.end_link(0);
+    assert!(command_log.restart_link().is_empty());
+}
--- a/crates/server/src/peers/stream.rs
+++ b/crates/server/src/peers/stream.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// Writes as much as the socket accepts without waiting; returns the number of bytes written.
+/// Writes as much as the socket accepts without waiting; returns the number of bytes written. An error after
+/// some bytes were written is left to the next call.
 pub fn write(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
     let mut written = 0;
     while written < bytes.len() {
@@ -46,6 +47,7 @@
             Ok(n) => written += n,
             Err(e) if e.kind() == ErrorKind::WouldBlock => break,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) if written > 0 => break,
             Err(e) => return Err(e),
         }
     }
--- a/crates/server/tests/agent_link.rs
+++ b/crates/server/tests/agent_link.rs
@@ -74,3 +74,58 @@
     env.agent.wait_for_samples(1);
     assert_runs_end_once(&mut env, &mut balancer);
 }
+
+/// Guards against a second run when a link breaks. A launch that may have been read is repeated only if its
+/// class is idempotent; the others' runs are in progress, and their results are answered.
+#[test]
+fn launches_that_may_have_been_read_on_a_broken_link_are_repeated_only_if_idempotent() {
+    let mut env = TestEnvironment::start_registered(classes_by_idempotency);
+    let mut balancer = env.balancer();
+    launch_unacknowledged(&mut env, &mut balancer);
+    env.agent.disconnect();
+    env.agent.answers_samples = true;
+    env.agent.send_initial_notice();
+    let command = next_command(&mut env.agent);
+    assert_eq!((&command["op"], &command["id"]), (&json!("launch"), &json!("search")));
+    assert_runs_end_once(&mut env, &mut balancer);
+}
+
+/// Guards against a second run when the agent's address changes and the old one no longer answers.
+#[test]
+fn launches_that_an_unreachable_address_may_have_read_are_repeated_only_if_idempotent() {
+    let mut env = TestEnvironment::start_registered(classes_by_idempotency);
+    let mut balancer = env.balancer();
+    launch_unacknowledged(&mut env, &mut balancer);
+    let _silent_agent = move_agent(&mut env);
+    env.agent.send_initial_notice();
+    let command = next_command(&mut env.agent);
+    assert_eq!((&command["op"], &command["id"]), (&json!("launch"), &json!("search")));
+    assert_runs_end_once(&mut env, &mut balancer);
+}
+
+/// Guards against a request without an answer, and against a second run of its duplicate: the agent has never
+/// read the launch, which must not be repeated.
+#[test]
+fn a_keyed_request_whose_launch_was_lost_fails_at_its_deadline_and_its_duplicate_never_runs() {
+    let mut env = TestEnvironment::start_registered(|config| {
+        classes_by_idempotency(config);
+        config["settings"]["family_info"]["passes_deadline"] = true.into();
+    });
+    let mut balancer = env.balancer();
+    env.agent.wait_for_samples(2);
+    env.agent.answers_samples = false;
+    balancer.send(&request_of_class(1, "lost", "room").with("HTTP_BUDGET_MS", "1000"));
+    assert_eq!(env.agent.expect_command("launch").0, "lost");
+    env.agent.disconnect();
+    env.agent.answers_samples = true;
+    env.agent.send_initial_notice();
+    env.agent.wait_for_samples(2);
+    let answer = balancer.answer();
+    assert_eq!((answer.slot, answer.status), (1, 500));
+    balancer.send(&request_of_class(2, "again", "room").with("HTTP_ONCE_KEY", "lost"));
+    let answer = balancer.answer();
+    assert_eq!((answer.slot, answer.status), (2, 500));
+    balancer.send(&request_of_class(3, "later", "room"));
+    assert_eq!(next_command(&mut env.agent)["id"], "later");
+    assert!(env.log().contains("launch may not have been read"), "{}", env.log());
+}
