A link to the agent that hardly lasted is made anew after a pause

What callers saw: nothing so far.

Cause: after a link that had been greeted the next attempt was made at once, however soon the link had ended.

Change: after a link that lasted under 20 ms the pause of a failed attempt comes first. A link that lasted is still made anew at once, and so is one that ended because the agent moved.

--- a/crates/server/src/peers/agent.rs
+++ b/crates/server/src/peers/agent.rs
@@ -22,7 +22,8 @@
 pub const MAILBOX_CAPACITY: usize = 4096;
 /// Maximum size in bytes of the commands taken from the command log at once; a longer command is taken alone.
 const MAX_WRITE_BYTES: usize = 32 * 1024;
-/// Delay before the next attempt to connect, after a failed one or a link that ended before its greeting.
+/// Delay before the next attempt to connect, after a failed one or a link that ended before its greeting. A
+/// link that did not last as long as this is followed by the same delay.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(20);
 /// Delay before the next attempt to connect after malformed input.
 const MALFORMED_BACKOFF: Duration = Duration::from_millis(200);
@@ -71,11 +72,13 @@
 impl LinkEnd {
     /// Delay before the next attempt to connect. After malformed input the agent may send the same bytes
     /// again, so the delay limits how often they are read. An agent that had sent its greeting was running a
-    /// moment ago: the next attempt is made at once, so that its notices are not delayed.
-    fn backoff(&self, greeted: bool) -> Duration {
+    /// moment ago: the next attempt is made at once, so that its notices are not delayed, unless the link ended
+    /// so soon that the next one may do the same.
+    fn backoff(&self, greeted: bool, lasted: Duration) -> Duration {
         match self {
             LinkEnd::Malformed(_) => MALFORMED_BACKOFF,
-            _ if greeted => Duration::ZERO,
+            LinkEnd::AddressChanged if greeted => Duration::ZERO,
+            _ if greeted && lasted >= RECONNECT_BACKOFF => Duration::ZERO,
             _ => RECONNECT_BACKOFF,
         }
     }
@@ -103,6 +106,7 @@
                 stream::with_timeout(CONNECT_TIMEOUT, Async::<TcpStream>::connect(self.address)).await;
             let backoff = match connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into())) {
                 Ok(stream) => {
+                    let connected_at = Instant::now();
                     let (end, greeted) = self.serve_link(stream).await;
                     self.status.set(AgentLinkState::Disconnected);
                     self.log_link_end(&end);
@@ -110,7 +114,7 @@
                     if shutting_down || self.admission.send(AdmissionMessage::AgentLinkLost).await.is_err() {
                         return;
                     }
-                    end.backoff(greeted)
+                    end.backoff(greeted, connected_at.elapsed())
                 }
                 Err(e) => {
                     debug!(self.log, "agent connect failed"; "error" => %e);
--- a/crates/server/tests/agent_link.rs
+++ b/crates/server/tests/agent_link.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{classes_by_idempotency, eventually, request_of_class, Agent, Balancer, TestEnvironment};
 use serde_json::{json, Value};
@@ -11,6 +11,8 @@
 const CLASSES: [&str; 3] = ["search", "book", "room"];
 /// Time in which the server applies a reload that it has logged.
 const RELOAD_TIME: Duration = Duration::from_millis(20);
+/// Pause before a new link after one that did not last.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 /// A link on which no message has come for this long has ended: samples are requested far more often.
 const QUIET_TIME: Duration = Duration::from_millis(100);
 
@@ -129,3 +131,23 @@
     assert_eq!(next_command(&mut env.agent)["id"], "later");
     assert!(env.log().contains("launch may not have been read"), "{}", env.log());
 }
+
+/// Guards against a server that spends its share of the processor on new links: an agent that closes each link
+/// right after its greeting gets the next one after a pause.
+#[test]
+fn links_that_end_right_after_the_greeting_are_made_anew_after_a_pause() {
+    let mut env = TestEnvironment::start_registered(classes_by_idempotency);
+    let started_at = Instant::now();
+    let mut links = 0;
+    while started_at.elapsed() < Duration::from_millis(500) {
+        env.agent.disconnect();
+        env.agent.send_initial_notice();
+        links += 1;
+    }
+    let pauses = started_at.elapsed().as_millis() / RECONNECT_PAUSE.as_millis();
+    // The first link had lasted, so the second is made at once.
+    assert!(links <= pauses + 2, "{links} links in {:?}", started_at.elapsed());
+    let mut balancer = env.balancer();
+    balancer.send(&request_of_class(1, "a", "search"));
+    assert_eq!(next_command(&mut env.agent)["id"], "a");
+}
