--- a/crates/server/src/lifecycle/server.rs
+++ b/crates/server/src/lifecycle/server.rs
@@ -17,7 +17,8 @@
 use super::dependencies::DependencyHandle;
 use super::fleet::FleetHandle;
 use super::phase::{Phase, PhaseTracker};
-use super::signals::{SignalListener, SignalRequest};
+use super::signals::{CheckLateness, SignalListener, SignalRequest};
+use super::stall_detector::{SchedulerStats, NANOS_PER_MILLI};
 use super::startup::Senders;
 use crate::memory::budget::Budget;
 use crate::messages::diagnostics::{AgentLinkStatus, ConnectionCounts, OpenConnections};
@@ -26,6 +27,8 @@
 use crate::messages::AdmissionMessage;
 use crate::peers::dependency::SocketBudget;
 
+const MICROS_PER_MILLI: Micros = 1_000;
+
 /// An event that the running server waits for.
 enum ServerEvent {
     /// The render farm agent has sent its greeting.
@@ -78,16 +81,22 @@
                 ServerEvent::ConnectionsClosed => phase.enter(Phase::Stopped),
             }
         }
-        self.log_exit();
+        self.log_exit(signals.lateness());
     }
 
-    /// Logs what was left at the exit, so that a request without a response can be traced.
-    fn log_exit(&self) {
+    /// Logs what was left at the exit, and how much the process was run, so that a request without a response
+    /// can be traced.
+    fn log_exit(&self, lateness: CheckLateness) {
+        let scheduled = SchedulerStats::now();
         let ConnectionCounts { awaiting_response, unwritten, awaiting_peer_close, idle } =
             self.open_connections.counts();
         let (agent_link, agent_link_age) = self.agent_link.state();
         let sample_age_ms = self.agent_link.sample_age().map(|age| age.as_millis() as u64);
         info!(self.log, "exiting";
+            "longest_late_check_ms" => lateness.longest / MICROS_PER_MILLI,
+            "late_checks_ms" => lateness.total / MICROS_PER_MILLI,
+            "waited_ms" => scheduled.waiting_ns / NANOS_PER_MILLI,
+            "ran_ms" => scheduled.running_ns / NANOS_PER_MILLI,
             "sample_age_ms" => sample_age_ms,
             "agent_link_age_ms" => agent_link_age.as_millis() as u64,
             "agent_link" => %agent_link,
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -14,6 +14,24 @@
 /// later than it is taken to have come.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How late the checks were: the time in which the process was not run, or was busy with something else.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CheckLateness {
+    /// Sum over all checks, in microseconds.
+    pub total: Micros,
+    /// The latest check, in microseconds.
+    pub longest: Micros,
+}
+
+impl CheckLateness {
+    /// Counts a check that comes this long after the one before.
+    fn record(&mut self, interval: Micros) {
+        let late = interval.saturating_sub(CHECK_INTERVAL.as_micros() as Micros);
+        self.total += late;
+        self.longest = self.longest.max(late);
+    }
+}
+
 /// The request that a signal stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SignalRequest {
@@ -39,6 +57,7 @@
     last_check: Micros,
     /// A reload was requested and not returned yet.
     reload_requested: bool,
+    lateness: CheckLateness,
 }
 
 impl SignalListener {
@@ -50,7 +69,18 @@
         let signals: SigSet = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect();
         signals.thread_block()?;
         let descriptor = SignalFd::with_flags(&signals, SfdFlags::SFD_CLOEXEC | SfdFlags::SFD_NONBLOCK)?;
-        Ok(SignalListener { signals: Async::new(descriptor)?, clock, last_check, reload_requested: false })
+        Ok(SignalListener {
+            signals: Async::new(descriptor)?,
+            clock,
+            last_check,
+            reload_requested: false,
+            lateness: CheckLateness::default(),
+        })
+    }
+
+    /// How late the checks have been so far.
+    pub fn lateness(&self) -> CheckLateness {
+        self.lateness
     }
 
     /// Waits for the next request. A shutdown takes precedence over a reload.
@@ -76,6 +106,7 @@
     fn check(&mut self) -> Option<SignalRequest> {
         // The time is read first: a signal that is not found comes later than that.
         let now = self.clock.now();
+        self.lateness.record(now.saturating_sub(self.last_check));
         let mut shutdown_requested = false;
         while let Ok(Some(signal)) = self.signals.get_ref().read_signal() {
             if signal.ssi_signo == Signal::SIGHUP as u32 {
--- a/crates/server/src/lifecycle/signals/tests.rs
+++ b/crates/server/src/lifecycle/signals/tests.rs
@@ -35,3 +35,25 @@
     assert_eq!(listener.check(), Some(SignalRequest::Reload));
     assert_eq!(listener.check(), None);
 }
+
+#[test]
+fn late_checks_are_added_up() {
+    let mut listener = listener();
+    listener.check();
+    std::thread::sleep(Duration::from_millis(25));
+    listener.check();
+    std::thread::sleep(Duration::from_millis(50));
+    listener.check();
+    let CheckLateness { total, longest } = listener.lateness();
+    assert!(longest >= 30_000 && total >= longest + 5_000, "{total} {longest}");
+}
+
+#[test]
+fn checks_in_time_are_not_late() {
+    let mut lateness = CheckLateness::default();
+    lateness.record(20_000);
+    lateness.record(1);
+    assert_eq!(lateness, CheckLateness::default());
+    lateness.record(20_001);
+    assert_eq!(lateness, CheckLateness { total: 1, longest: 1 });
+}
--- a/crates/server/src/lifecycle/stall_detector.rs
+++ b/crates/server/src/lifecycle/stall_detector.rs
@@ -10,14 +10,16 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A check that is more than this overdue is logged as a stall.
 const STALL_THRESHOLD: Duration = Duration::from_millis(400);
+/// Nanoseconds in a millisecond.
+pub const NANOS_PER_MILLI: u64 = 1_000_000;
 
 /// Times that the kernel's scheduler has counted for this process's first thread, in nanoseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct SchedulerStats {
+pub struct SchedulerStats {
     /// Time on a core.
-    running_ns: u64,
+    pub running_ns: u64,
     /// Time ready to run, without a core.
-    waiting_ns: u64,
+    pub waiting_ns: u64,
 }
 
 impl SchedulerStats {
@@ -29,7 +31,8 @@
         SchedulerStats { running_ns, waiting_ns }
     }
 
-    fn now() -> SchedulerStats {
+    /// The times since the start of the process.
+    pub fn now() -> SchedulerStats {
         SchedulerStats::parse(&std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default())
     }
 }
@@ -55,7 +58,7 @@
 }
 
 fn millis_between(from_ns: u64, to_ns: u64) -> u64 {
-    to_ns.saturating_sub(from_ns) / 1_000_000
+    to_ns.saturating_sub(from_ns) / NANOS_PER_MILLI
 }
 
 #[cfg(test)]
