Review: bad clients make the server drop balancers' requests without an answer (case 2)

Cause: once bad clients have used up the memory that peers may take, the server stops reading a balancer's connection that has to grow, though requests are open on it; what is written on it until its close is never answered. Nothing is fixed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The link to the render farm agent breaks now and then while runs make two calls each."""
+"""Bad clients send messages that never end while balancers send their usual requests."""
 
 import asyncio
 import os
@@ -6,13 +6,19 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
+STANDINS = os.path.join(os.path.dirname(FOLDER), "standins")
+sys.path.insert(0, STANDINS)
 import small_site as site  # noqa: E402
 
-SECONDS = 90
-RATE = 30  # requests a second
-BREAK = 2.0  # seconds between two breaks of the link, in the mean
-TICK = 0.004  # seconds: `tick_us` of the settings
+SECONDS = 40
+RATE = 12  # bursts a second
+BURST = (1, 6)  # usual requests at once
+OPEN = 12  # requests that a balancer opens on a connection before it takes another one
+IDLE = 3  # seconds after which a balancer closes an idle connection
+BAD_CLIENTS = 240
+PROCESSES = 3  # that they are spread over
+CROSSING = 0.05  # a request that crosses the close of a connection within this time is sent again
+ALLOWED = 0.003  # share of requests that may go without an answer before the rule is broken
 
 
 async def case(record):
@@ -20,66 +26,84 @@
     world = site.World()
 
     async def plan(run):
-        await asyncio.sleep(random.uniform(0.005, 0.02))
-        first = await agent.call(run, b"call 1 of " + run.id.encode())
-        await asyncio.sleep(random.uniform(0.005, 0.02))
-        second = await agent.call(run, b"call 2 of " + run.id.encode())
-        await asyncio.sleep(random.uniform(0.005, 0.02))
-        return b"plan of %s: %s, %s" % (run.id.encode(), first or b"no call made", second or b"no call made")
-
-    async def answer(request_id, body):
-        return b"reply to " + body
+        await asyncio.sleep(random.uniform(0.1, 0.5))
+        return b"result of " + run.id.encode() + b"." * 3900
 
     agent = site.Agent(record, world, plan)
-    agent.tick = TICK
     world.agent = agent
-    records = site.Records(record, agent, answer, lambda: random.uniform(0.01, 0.02))
+    records = site.Records(record, agent, None, None)
     announce = site.Announce(record)
     listen = await site.free_address()
-    addresses = await agent.listen(), await records.listen(), await announce.listen()
-    server = site.Server(record, site.lamp_configuration(listen, *addresses))
-    requests = []
-    breaks = 0
-
-    async def break_links():
-        nonlocal breaks
-        while True:
-            await asyncio.sleep(random.uniform(0.5 * BREAK, 1.5 * BREAK))
-            agent.break_link()
-            breaks += 1
-
+    config = site.configuration(listen, await agent.listen(), await records.listen(), await announce.listen())
+    config["limits"].update(memory_mb=32, sockets=512)
+    server = site.Server(record, config)
+    requests, connections, bad = [], [], []
     try:
         await server.start()
         await site.wait_ready(announce)
-        connections = [await site.Connection(record, world, listen).connect() for _ in range(4)]
-        breaking = asyncio.ensure_future(break_links()) if site.TROUBLE else None
         loop = asyncio.get_running_loop()
+        if site.TROUBLE:
+            for _ in range(PROCESSES):
+                bad.append(await asyncio.create_subprocess_exec(
+                    sys.executable, "-B", os.path.join(STANDINS, "bad_clients.py"), listen,
+                    str(BAD_CLIENTS // PROCESSES), str(SECONDS + 3), preexec_fn=site.die_with_parent))
+            record.write(f"bad clients: {BAD_CLIENTS} started")
+            await asyncio.sleep(2)
         end = loop.time() + SECONDS
         while loop.time() < end:
-            request = site.Request("night-plan", b"plan", 13000, budget_ms=9000)
-            requests.append(request)
-            await min(connections, key=lambda connection: len(connection.open)).send(request)
+            for connection in list(connections):
+                if connection.closed.is_set():
+                    connections.remove(connection)
+                elif not connection.open and loop.time() - connection.used > IDLE:
+                    connections.remove(connection)
+                    connection.close()
+            connection = min(connections, key=lambda connection: len(connection.open), default=None)
+            if connection is None or len(connection.open) >= OPEN:
+                try:
+                    connection = await asyncio.wait_for(site.Connection(record, world, listen).connect(), 3)
+                except (OSError, asyncio.TimeoutError):
+                    continue
+                connections.append(connection)
+            connection.used = loop.time()
+            burst = [site.Request("book-room", b"b" * 2048, 5400, budget_ms=4000)
+                     for _ in range(random.randint(*BURST))]
+            try:
+                await connection.send(*burst)
+                requests.extend(burst)
+            except OSError:
+                pass  # the connection ended before the requests were written
             await asyncio.sleep(random.expovariate(RATE))
-        if breaking is not None:
-            breaking.cancel()
-        await asyncio.wait([asyncio.ensure_future(request.done.wait()) for request in requests], timeout=10)
+        await asyncio.wait([asyncio.ensure_future(request.done.wait()) for request in requests], timeout=6)
+        if server.process.returncode is not None:
+            return [f"the server has ended with {server.process.returncode}"]
     finally:
+        for process in bad:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         await server.stop()
 
-    # The check: the reply that a run gets for a call is the one that the records service gave to that call.
-    broken = []
-    for run in agent.started_runs:
-        for seq, body, reply in run.calls:
-            if reply is not None and reply != b"reply to " + body:
-                broken.append(f"the run of {run.id} got {reply.decode()!r} for {body.decode()!r}, notice {seq}")
-    served = [request for request in requests if request.status == 200]
-    summary = (f"{len(requests)} requests, {len(served)} served, {len(records.calls)} calls, "
-               f"{breaks} breaks of the link")
+    # The check: a usual request that was written whole has an answer by its due time. Left out is what the pages excuse: a
+    # connection that never answered anything, one that had no other request open, and a close within 50 ms.
+    lost = []
+    for request in requests:
+        if request.answered_at is not None and request.answered_at <= request.due_at + 0.11:
+            continue
+        closed_at = request.connection.closed_at
+        crossed = closed_at is not None and closed_at - request.written_at < CROSSING
+        if request.answers_before > 0 and request.others > 0 and not crossed:
+            after = "was never closed" if closed_at is None else f"ended {closed_at - request.written_at:.2f} s later"
+            lost.append(f"{request.id} has no answer in time ({request.others} others were open, the connection {after})")
+    statuses = {}
+    for request in requests:
+        statuses[request.status] = statuses.get(request.status, 0) + 1
+    shown = ", ".join(f"{status} {count}" for status, count in sorted(statuses.items(), key=str))
+    summary = f"{len(requests)} usual requests ({shown}); {len(lost)} lost, {ALLOWED * len(requests):.1f} allowed"
     record.write(summary)
     print(summary)
-    if len(served) < len(requests) / 2:
-        raise site.NotRun(f"only {len(served)} of {len(requests)} requests were served")
-    return broken
+    if statuses.get(200, 0) < 50:
+        raise site.NotRun("hardly any request was served")
+    return lost if len(lost) > ALLOWED * len(requests) else []
 
 
 site.main(FOLDER, case)
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 python3 - <<'PYTHON'
 import glob
-for name in sorted(glob.glob("standins/*.py") + glob.glob("*/case.py")):
+for name in sorted(glob.glob("standins/*.py") + glob.glob("*/case.py") + glob.glob("probes/*.py") + glob.glob("probes/*/case.py")):
     with open(name) as file:
         compile(file.read(), name, "exec")
 PYTHON
--- a/review/standins/small_site.py
+++ b/review/standins/small_site.py
@@ -489,7 +489,9 @@
         self.world = world
         self.address = address
         self.open = {}
+        self.answers = 0
         self.closed = asyncio.Event()
+        self.closed_at = None
         self.lock = asyncio.Lock()
 
     async def connect(self):
@@ -501,16 +503,24 @@
     def free_slot(self):
         return next(slot for slot in range(1, 33) if slot not in self.open)
 
-    async def send(self, request):
-        """Writes a request whole."""
+    async def send(self, *requests):
+        """Writes requests whole, all at once."""
         async with self.lock:
-            slot = self.free_slot()
-            self.open[slot] = request
-            self.world.requests[request.id] = request
-            self.writer.write(b"".join(request.encode(slot)))
+            data = b""
+            others, answers = len(self.open), self.answers
+            for request in requests:
+                # What was open and answered on the connection before, for the check.
+                request.connection, request.others, request.answers_before = self, others, answers
+                slot = self.free_slot()
+                self.open[slot] = request
+                self.world.requests[request.id] = request
+                data += b"".join(request.encode(slot))
+            self.writer.write(data)
             await self.writer.drain()
-            request.written_at = time.time()
-        self.record.write(f"balancer: {request.id} sent, class {request.class_name}, body {request.body[:40].decode()!r}")
+            for request in requests:
+                request.written_at = time.time()
+                self.record.write(f"balancer: {request.id} sent, class {request.class_name}, "
+                                  f"body {request.body[:40].decode()!r}")
 
     async def read(self):
         output = {}
@@ -530,11 +540,13 @@
             self.record.write(f"balancer: the connection ended, {request.id} is open on it")
             request.status = "closed"
             request.done.set()
+        self.closed_at = time.time()
         self.closed.set()
 
     def finish(self, slot, output, protocol_status):
         request = self.open.pop(slot)
         request.answers += 1
+        self.answers += 1
         request.answered_at = time.time()
         if protocol_status == 2:
             request.status = "overloaded"
