Log each end of a connection's input with its reason and the requests open on it

The reasons are one type now. An end of the input while complete requests are open is one warning a second, with the reason, the complete and the half-received requests, and the number of events not logged; all others are debug lines. Nothing else changes.

--- a/crates/server/src/lifecycle/startup.rs
+++ b/crates/server/src/lifecycle/startup.rs
@@ -291,6 +291,7 @@
             last_serial: Rc::default(),
             budget: budget.clone(),
             clock: self.clock.clone(),
+            input_end_throttle: Rc::default(),
             log: self.log.clone(),
         }
     }
--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -10,7 +10,7 @@
 mod output;
 mod request;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -19,12 +19,14 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use slog::{debug, warn, Logger};
+use slog::{debug, Logger};
 use umberloom::interface::{Micros, RequestId};
 use umberloom_settings::shape::Shape;
 
+use self::input::InputEnd;
 use super::stream::{self, ReadResult};
 use crate::lifecycle::clock::Clock;
+use crate::lifecycle::log_throttle::LogThrottle;
 use crate::memory::budget::{Budget, Charge};
 use crate::messages::caller::{ConnectionActivity, ConnectionCommand, LoadHint};
 use crate::messages::diagnostics::{ConnectionRegistration, OpenConnections};
@@ -76,6 +78,8 @@
     pub budget: Budget,
     /// Clock for timeouts and request times.
     pub clock: Clock,
+    /// Limits the warnings about connections that are read no more while requests are open on them.
+    pub input_end_throttle: Rc<RefCell<LogThrottle>>,
     /// Logger for events of connections.
     pub log: Logger,
 }
@@ -238,13 +242,13 @@
                 self.handle_input(bytes).await;
                 return Ok(true);
             }
-            ReadResult::Closed => self.stop_reading(),
+            ReadResult::Closed => self.stop_reading(InputEnd::ClosedByPeer),
             // Checked only when the socket is empty, so that after a stall requests already received are read
             // first.
-            ReadResult::WouldBlock if self.is_request_overdue() || self.is_evictable() => {
-                debug!(self.context.log, "closed: no complete request received");
-                self.stop_reading();
+            ReadResult::WouldBlock if self.is_request_overdue() => {
+                self.stop_reading(InputEnd::RequestOverdue);
             }
+            ReadResult::WouldBlock if self.is_evictable() => self.stop_reading(InputEnd::Evicted),
             ReadResult::WouldBlock => {}
         }
         Ok(false)
@@ -316,8 +320,7 @@
             + self.responder.buffered_bytes()
             + self.responder.output.capacity();
         if !self.charge.resize(bytes) && !self.input_closed {
-            warn!(self.context.log, "connection closed: out of memory"; "bytes" => bytes);
-            self.stop_reading();
+            self.stop_reading(InputEnd::OutOfMemory);
         }
         self.activity.open_requests.set(self.responder.complete_requests());
         self.activity.unwritten_bytes.set(self.unwritten_bytes());
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -1,10 +1,30 @@
 //! Turns received bytes into messages for admission, and limits how long a request may take to arrive.
 
-use slog::debug;
+use std::time::Instant;
+
+use slog::{debug, warn};
 use umberloom::interface::Micros;
 
 use super::{Connection, OpenRequest, MAX_BYTES_WITHOUT_REQUEST, MAX_UNWRITTEN_BYTES, REQUEST_TIMEOUT};
 use crate::wire::responder::Incoming;
+use crate::wire::MalformedInput;
+
+/// Why a connection is read no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum InputEnd {
+    #[error("closed by the peer")]
+    ClosedByPeer,
+    #[error("no complete request received in time")]
+    RequestOverdue,
+    #[error("a new connection needs the table entry")]
+    Evicted,
+    #[error("too many bytes received without a complete request")]
+    TooManyBytes,
+    #[error("out of memory")]
+    OutOfMemory,
+    #[error("malformed input: {0}")]
+    Malformed(#[from] MalformedInput),
+}
 
 impl Connection {
     /// Whether to read from the socket: not after its input was closed, and not while too much waits to be
@@ -21,13 +41,31 @@
     }
 
     /// Stops reading for good and drops requests that are not complete.
-    pub(super) fn stop_reading(&mut self) {
+    pub(super) fn stop_reading(&mut self, reason: InputEnd) {
+        self.log_input_end(reason);
         self.input_closed = true;
         self.request_awaited_since = None;
         self.responder.drop_partial();
         self.buffer.consume(usize::MAX);
     }
 
+    /// Logs that nothing more is read. What the peer writes from then on is never answered, so it is a warning
+    /// if the peer is no more than waiting for responses.
+    fn log_input_end(&self, reason: InputEnd) {
+        let complete = self.responder.complete_requests();
+        let incomplete = self.responder.open_requests() - complete;
+        debug!(self.context.log, "connection read no more"; "incomplete_requests" => incomplete,
+            "complete_requests" => complete, "bytes" => self.bytes_without_request, "reason" => %reason);
+        if complete == 0 || reason == InputEnd::ClosedByPeer {
+            return;
+        }
+        let Some(suppressed) = self.context.input_end_throttle.borrow_mut().record(Instant::now()) else {
+            return;
+        };
+        warn!(self.context.log, "connection with open requests read no more"; "suppressed" => suppressed,
+            "incomplete_requests" => incomplete, "complete_requests" => complete, "reason" => %reason);
+    }
+
     /// Whether [`Connection::request_deadline`] has passed.
     pub(super) fn is_request_overdue(&self) -> bool {
         self.request_deadline().is_some_and(|deadline| self.context.clock.now() >= deadline)
@@ -48,10 +86,10 @@
         } else if self.activity.has_requested.get() {
             self.request_awaited_since = None;
         }
-        if self.bytes_without_request > MAX_BYTES_WITHOUT_REQUEST || self.is_request_overdue() {
-            debug!(self.context.log, "closed: bytes received without a complete request";
-                "bytes" => self.bytes_without_request);
-            self.stop_reading();
+        if self.bytes_without_request > MAX_BYTES_WITHOUT_REQUEST {
+            self.stop_reading(InputEnd::TooManyBytes);
+        } else if self.is_request_overdue() {
+            self.stop_reading(InputEnd::RequestOverdue);
         }
     }
 
@@ -66,10 +104,7 @@
                         self.handle_incoming(incoming).await;
                     }
                 }
-                Err(e) => {
-                    debug!(self.context.log, "connection closed: malformed input"; "error" => %e);
-                    return self.stop_reading();
-                }
+                Err(e) => return self.stop_reading(e.into()),
             }
         }
     }
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -104,6 +104,7 @@
         last_serial: Rc::default(),
         budget: Budget::new(1 << 24),
         clock: Default::default(),
+        input_end_throttle: Rc::default(),
         log: Logger::root(slog::Discard, slog::o!()),
     };
     let listener = Listener::new(executor.clone(), (socket, table), context.clone(), received, idle_timeout);
