Bad clients' unfinished requests no longer keep balancers' connections from being read

Cause: half-received requests of all peers took from one budget without a limit for each, and whichever connection had to grow next was read no more, a balancer's with open requests as well. It stayed open until those were answered; what the balancer wrote meanwhile was read by nobody.

Change: crates/connection-admission/peer_memory.rs decides what a peer may hold. An eighth of the memory is divided equally among all connections that there may be; beyond its part a connection may hold a share of what is free. wire/responder takes records apart as they arrive, so that no record is buffered whole; a request without room loses its content, is read to its end and rejected as OVERLOADED, and the connection is read on. Unread answers make a connection wait, they end nothing.

Two tests of the responder have another form of the same checks, as too_long is one of two reasons now.

--- a/crates/connection-admission/src/lib.rs
+++ b/crates/connection-admission/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`connection_table`] decides whether a new connection is accepted, which idle connection is closed for
 //!   it, and which connections are closed so that a listener gets back the quota that others have borrowed.
+//! - [`peer_memory`] divides the memory that peers can make the server use among its connections.
 //! - [`read_scheduler`] decides whose request is read next when more callers wait than the server reads
 //!   concurrently.
 //!
@@ -29,4 +30,5 @@
 //! ```
 
 pub mod connection_table;
+pub mod peer_memory;
 pub mod read_scheduler;
--- a/crates/server/src/admission/tests/mod.rs
+++ b/crates/server/src/admission/tests/mod.rs
@@ -154,7 +154,7 @@
             work,
             body: body.to_vec(),
             reply_to: self.reply_to(),
-            charge: Budget::new(1).charge(0).expect("a charge of 0 bytes"),
+            charge: Budget::new(1, 0).charge(0).expect("a charge of 0 bytes"),
         };
         self.actor.handle_message(now, AdmissionMessage::Request(Box::new(request)));
         self.last_serial
--- a/crates/server/src/dependency_calls/tests.rs
+++ b/crates/server/src/dependency_calls/tests.rs
@@ -22,7 +22,7 @@
         config: operator.dependencies,
         mailboxes: BTreeMap::from([(Rc::from("records"), mailbox)]),
         shared_quotas: Vec::new(),
-        charge: Budget::new(1).charge(0).expect("a charge of 0 bytes"),
+        charge: Budget::new(1, 0).charge(0).expect("a charge of 0 bytes"),
     };
     let log = Logger::root(slog::Discard, slog::o!());
     let quota_leases = QuotaLeases::new(None, 1, log.clone());
@@ -61,7 +61,7 @@
         last_reply_at: None,
         duplicate_of: None,
         awaits_original: false,
-        _charge: Budget::new(1).charge(0).expect("a charge of 0 bytes"),
+        _charge: Budget::new(1, 0).charge(0).expect("a charge of 0 bytes"),
     }
 }
 
--- a/crates/server/src/lifecycle/startup.rs
+++ b/crates/server/src/lifecycle/startup.rs
@@ -134,7 +134,7 @@
         let descriptors = divide_descriptors(&config, operator.as_ref(), log);
         let (senders, inboxes) = open_mailboxes();
         let (agent_up_sender, agent_up) = bounded(1);
-        let budget = Budget::new(config.limits.memory_bytes / PEER_MEMORY_DIVISOR);
+        let budget = Budget::new(config.limits.memory_bytes / PEER_MEMORY_DIVISOR, descriptors.connections);
         let call_sockets = SocketBudget::new(descriptors.calls);
         let starter = ActorStarter { executor, config: &config, senders: &senders, clock, log };
         let fleet = starter.start_fleet(operator.as_ref(), sockets.fleet, &budget)?;
@@ -292,6 +292,7 @@
             budget: budget.clone(),
             clock: self.clock.clone(),
             input_end_throttle: Rc::default(),
+            out_of_memory_throttle: Rc::default(),
             log: self.log.clone(),
         }
     }
--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -27,19 +27,20 @@
 use super::stream::{self, ReadResult};
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::log_throttle::LogThrottle;
-use crate::memory::budget::{Budget, Charge};
+use crate::memory::budget::{Budget, ConnectionMemory};
 use crate::messages::caller::{ConnectionActivity, ConnectionCommand, LoadHint};
 use crate::messages::diagnostics::{ConnectionRegistration, OpenConnections};
 use crate::messages::AdmissionMessage;
 use crate::wire::buffer::Buffer;
-use crate::wire::fastcgi;
-use crate::wire::responder::{Responder, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, MAX_PARAMS_BYTES};
+use crate::wire::responder::{
+    Responder, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, MAX_PARAMS_BYTES, MAX_UNCONSUMED_BYTES,
+};
 
 /// Capacity of the mailbox in messages: a response for each open request, and at most one of each kind of
 /// listener command.
 pub(super) const MAILBOX_CAPACITY: usize = 2 * MAX_OPEN_REQUESTS;
-/// Reading pauses while this many bytes wait to be written.
-const MAX_UNWRITTEN_BYTES: usize = 256 * 1024;
+/// Size of the buffer to read into. It is not charged, as the number of connections is limited.
+const READ_BUFFER_BYTES: usize = 2 * MAX_UNCONSUMED_BYTES;
 /// A connection whose peer accepts no bytes for this long is closed.
 const WRITE_TIMEOUT: Micros = 30_000_000;
 /// Time limit for receiving a complete request: on a new connection from its start, later from a request's
@@ -80,6 +81,8 @@
     pub clock: Clock,
     /// Limits the warnings about connections that are read no more while requests are open on them.
     pub input_end_throttle: Rc<RefCell<LogThrottle>>,
+    /// Limits the warnings about requests for which there was no memory.
+    pub out_of_memory_throttle: Rc<RefCell<LogThrottle>>,
     /// Logger for events of connections.
     pub log: Logger,
 }
@@ -123,8 +126,8 @@
     responder: Responder,
     /// Requests that are not answered yet, by their slot on the connection.
     open_requests: BTreeMap<u16, OpenRequest>,
-    /// Memory charged for the connection's buffers.
-    charge: Charge,
+    /// Memory that the connection takes for requests that are not complete and for its output.
+    memory: ConnectionMemory,
     /// Bytes at the front of the responder's output that are written already.
     written_bytes: usize,
     /// When the peer last accepted bytes, or when nothing was left to write.
@@ -150,14 +153,14 @@
 }
 
 impl Connection {
-    /// Creates the actor of an accepted connection, and its mailbox; `None` if there is no memory for it.
+    /// Creates the actor of an accepted connection, and its mailbox.
     pub fn new(
         stream: Async<TcpStream>,
         context: ConnectionContext,
         activity: Rc<ConnectionActivity>,
-    ) -> Option<(Connection, Sender<ConnectionCommand>)> {
+    ) -> (Connection, Sender<ConnectionCommand>) {
         let (own_mailbox, commands) = async_channel::bounded(MAILBOX_CAPACITY);
-        let charge = context.budget.charge(0)?;
+        let memory = context.budget.open_connection();
         let now = context.clock.now();
         activity.last_active.set(now);
         let responder = Responder::new(context.max_connections);
@@ -168,10 +171,10 @@
             activity,
             commands,
             own_mailbox: own_mailbox.clone(),
-            buffer: Buffer::new(fastcgi::MAX_RECORD_BYTES),
+            buffer: Buffer::new(READ_BUFFER_BYTES),
             responder,
             open_requests: BTreeMap::new(),
-            charge,
+            memory,
             written_bytes: 0,
             last_write_progress: now,
             request_awaited_since: Some(now),
@@ -183,7 +186,7 @@
             reject_until: None,
             _registration: registration,
         };
-        Some((connection, own_mailbox))
+        (connection, own_mailbox)
     }
 
     /// Changes the connection to reject requests received within `period` microseconds and then close.
@@ -222,7 +225,7 @@
         self.draining |= self.activity.closing.get();
         self.write()?;
         let has_read = self.wants_input() && self.read().await?;
-        self.update_charge();
+        self.update_memory();
         if self.is_finished(has_read) {
             return Ok(true);
         }
@@ -313,15 +316,10 @@
         self.activity.last_active.set(self.context.clock.now());
     }
 
-    /// Charges the memory that the connection's buffers take. If the budget is exceeded, nothing more is
-    /// read. Also updates the number of requests in flight that the listener sees, and of unwritten bytes.
-    fn update_charge(&mut self) {
-        let bytes = self.buffer.allocated_bytes()
-            + self.responder.buffered_bytes()
-            + self.responder.output.capacity();
-        if !self.charge.resize(bytes) && !self.input_closed {
-            self.stop_reading(InputEnd::OutOfMemory);
-        }
+    /// Notes the memory that the connection takes, the requests in flight that the listener sees, and the
+    /// unwritten bytes.
+    fn update_memory(&mut self) {
+        self.memory.update(self.responder.buffered_bytes(), self.responder.output.capacity());
         self.activity.open_requests.set(self.responder.complete_requests());
         self.activity.unwritten_bytes.set(self.unwritten_bytes());
     }
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -5,8 +5,8 @@
 use slog::{debug, warn};
 use umberloom::interface::Micros;
 
-use super::{Connection, OpenRequest, MAX_BYTES_WITHOUT_REQUEST, MAX_UNWRITTEN_BYTES, REQUEST_TIMEOUT};
-use crate::wire::responder::Incoming;
+use super::{Connection, OpenRequest, MAX_BYTES_WITHOUT_REQUEST, REQUEST_TIMEOUT};
+use crate::wire::responder::{DroppedContent, Incoming};
 use crate::wire::MalformedInput;
 
 /// Why a connection is read no more.
@@ -20,8 +20,6 @@
     Evicted,
     #[error("too many bytes received without a complete request")]
     TooManyBytes,
-    #[error("out of memory")]
-    OutOfMemory,
     #[error("malformed input: {0}")]
     Malformed(#[from] MalformedInput),
 }
@@ -30,7 +28,7 @@
     /// Whether to read from the socket: not after its input was closed, and not while too much waits to be
     /// written.
     pub(super) fn wants_input(&self) -> bool {
-        !self.input_closed && self.unwritten_bytes() < MAX_UNWRITTEN_BYTES
+        !self.input_closed && self.memory.may_read(self.unwritten_bytes())
     }
 
     /// Handles the buffer's content after `bytes` more bytes were read into it.
@@ -49,8 +47,8 @@
         self.buffer.consume(usize::MAX);
     }
 
-    /// Logs that nothing more is read. What the peer writes from then on is never answered, so it is a warning
-    /// if the peer is no more than waiting for responses.
+    /// Logs that nothing more is read. What the peer writes from then on is never answered, so it is a
+    /// warning if the peer is no more than waiting for responses.
     fn log_input_end(&self, reason: InputEnd) {
         let complete = self.responder.complete_requests();
         let incomplete = self.responder.open_requests() - complete;
@@ -81,7 +79,8 @@
     /// and never completes a request.
     fn track_partial_request(&mut self) {
         let has_partial_request = self.responder.open_requests() > self.responder.complete_requests();
-        if has_partial_request || !self.buffer.unread().is_empty() {
+        let is_within_record = self.responder.is_within_record() || !self.buffer.unread().is_empty();
+        if has_partial_request || is_within_record {
             self.request_awaited_since = self.request_awaited_since.or(Some(self.context.clock.now()));
         } else if self.activity.has_requested.get() {
             self.request_awaited_since = None;
@@ -93,13 +92,15 @@
         }
     }
 
-    /// Handles all complete records in the buffer and removes them from it.
+    /// Handles the bytes in the buffer and removes them from it, as far as they need no further ones.
     async fn handle_records(&mut self) {
         loop {
-            match self.responder.handle_record(self.buffer.unread()) {
+            let max_buffered_bytes = self.memory.receive_limit();
+            match self.responder.handle_bytes(self.buffer.unread(), max_buffered_bytes) {
                 Ok((0, _)) => return,
                 Ok((consumed, incoming)) => {
                     self.buffer.consume(consumed);
+                    self.update_memory();
                     if let Some(incoming) = incoming {
                         self.handle_incoming(incoming).await;
                     }
@@ -116,8 +117,8 @@
             Incoming::Abort(slot) => {
                 self.open_requests.get(&slot).cloned().and_then(OpenRequest::into_cancellation)
             }
-            Incoming::Request { slot, params, body, too_long } => {
-                if !too_long {
+            Incoming::Request { slot, params, body, dropped } => {
+                if dropped != Some(DroppedContent::TooLong) {
                     // Any complete request proves that the peer speaks the protocol.
                     self.activity.has_requested.set(true);
                 }
@@ -126,7 +127,7 @@
                 let serial = self.context.last_serial.get() + 1;
                 self.context.last_serial.set(serial);
                 self.open_requests.insert(slot, OpenRequest { serial, id: None });
-                self.accept_request(slot, serial, &params, body, too_long)
+                self.accept_request(slot, serial, &params, body, dropped)
             }
         };
         if let Some(message) = message {
--- a/crates/server/src/peers/connection/request.rs
+++ b/crates/server/src/peers/connection/request.rs
@@ -1,6 +1,8 @@
 //! Validates a complete request, charges its memory and passes it to admission.
 
-use slog::debug;
+use std::time::Instant;
+
+use slog::{debug, warn};
 use umberloom::interface::RequestId;
 
 use super::{Connection, ConnectionContext, OpenRequest, REQUEST_OVERHEAD_BYTES};
@@ -8,6 +10,7 @@
 use crate::messages::AdmissionMessage;
 use crate::wire::cgi::{self, CgiRequest};
 use crate::wire::fastcgi::ProtocolStatus;
+use crate::wire::responder::DroppedContent;
 
 /// A request whose parameters are valid.
 enum ValidRequest {
@@ -50,7 +53,7 @@
         serial: u64,
         params: &[u8],
         body: Vec<u8>,
-        too_long: bool,
+        dropped: Option<DroppedContent>,
     ) -> Option<AdmissionMessage> {
         // Requests read while draining are rejected here: a response that has to wait for admission might not
         // be written before the process exits.
@@ -60,6 +63,12 @@
             return None;
         }
         let reply_to = ReplyTo::new(self.own_mailbox.clone(), slot, serial);
+        if dropped == Some(DroppedContent::OutOfMemory) {
+            self.log_out_of_memory();
+            self.reject_overloaded(slot);
+            return None;
+        }
+        let too_long = dropped == Some(DroppedContent::TooLong);
         let work = match validate(params, too_long, &self.context) {
             Ok(ValidRequest::HealthCheck { is_deep }) => {
                 return Some(AdmissionMessage::HealthCheck(HealthCheck { is_deep, reply_to }));
@@ -73,6 +82,7 @@
         };
         let bytes = params.len() + body.len() + REQUEST_OVERHEAD_BYTES;
         let Some(charge) = self.context.budget.charge(bytes) else {
+            self.log_out_of_memory();
             self.reject_overloaded(slot);
             return None;
         };
@@ -89,6 +99,15 @@
         })))
     }
 
+    /// Logs that there was no memory for a request, at a limited rate.
+    fn log_out_of_memory(&self) {
+        let suppressed = self.context.out_of_memory_throttle.borrow_mut().record(Instant::now());
+        let Some(suppressed) = suppressed else { return };
+        warn!(self.context.log, "request rejected: out of memory"; "suppressed" => suppressed,
+            "receiving_bytes" => self.context.budget.receiving(),
+            "available_bytes" => self.context.budget.available());
+    }
+
     fn reject_overloaded(&mut self, slot: u16) {
         self.open_requests.remove(&slot);
         self.responder.reject(slot, ProtocolStatus::Overloaded);
--- a/crates/server/src/peers/listener.rs
+++ b/crates/server/src/peers/listener.rs
@@ -222,8 +222,7 @@
         let Ok(stream) = Async::new(stream) else { return };
         let activity = Rc::new(ConnectionActivity::default());
         activity.closing.set(self.draining);
-        let connection = Connection::new(stream, self.context.clone(), activity.clone());
-        let Some((connection, mailbox)) = connection else { return };
+        let (connection, mailbox) = Connection::new(stream, self.context.clone(), activity.clone());
         match admission {
             Admission::Accept => self.start(connection, mailbox, activity, false),
             Admission::RejectRequests => {
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -60,8 +60,7 @@
         let client = Async::<TcpStream>::connect(address).await.expect("connected");
         let (stream, _) = listener.accept().await.expect("accepted");
         let activity = Rc::new(ConnectionActivity::default());
-        let (connection, mailbox) =
-            Connection::new(stream, self.context.clone(), activity.clone()).expect("memory for it");
+        let (connection, mailbox) = Connection::new(stream, self.context.clone(), activity.clone());
         self.executor.spawn(connection.run()).detach();
         for _ in 0..8 {
             future::yield_now().await;
@@ -102,9 +101,10 @@
         max_connections: table.capacity(),
         open_connections: OpenConnections::default(),
         last_serial: Rc::default(),
-        budget: Budget::new(1 << 24),
+        budget: Budget::new(1 << 24, table.total_capacity()),
         clock: Default::default(),
         input_end_throttle: Rc::default(),
+        out_of_memory_throttle: Rc::default(),
         log: Logger::root(slog::Discard, slog::o!()),
     };
     let listener = Listener::new(executor.clone(), (socket, table), context.clone(), received, idle_timeout);
--- a/crates/server/src/wire/buffer.rs
+++ b/crates/server/src/wire/buffer.rs
@@ -61,6 +61,7 @@
     }
 
     /// Memory allocated for the buffer, in bytes.
+    #[cfg(test)]
     pub fn allocated_bytes(&self) -> usize {
         self.bytes.len()
     }
--- a/crates/server/src/wire/fastcgi.rs
+++ b/crates/server/src/wire/fastcgi.rs
@@ -1,13 +1,14 @@
 //! FastCGI 1.0 records and name-value pairs.
 
+#[cfg(test)]
 use std::ops::Range;
 
 use super::MalformedInput;
 
 /// Size of a record's header, in bytes.
 pub const HEADER_BYTES: usize = 8;
-/// Size of the largest record, in bytes: header, content and padding.
-pub const MAX_RECORD_BYTES: usize = HEADER_BYTES + 65_535 + 255;
+/// Size of the longest padding of a record, in bytes.
+pub const MAX_PADDING_BYTES: usize = 255;
 
 /// Record types, with their numbers in the specification.
 pub mod kind {
@@ -42,7 +43,37 @@
     UnknownRole = 3,
 }
 
+/// The header of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordHeader {
+    /// The record type; [`kind`] has the known ones.
+    pub kind: u8,
+    /// The id of the request that the record belongs to; 0 for management records.
+    pub request: u16,
+    /// Size of the content that follows, in bytes.
+    pub content_bytes: usize,
+    /// Size of the padding behind the content, in bytes.
+    pub padding_bytes: usize,
+}
+
+/// Parses the header at the start of `bytes`; `None` while it is incomplete.
+pub fn parse_header(bytes: &[u8]) -> Result<Option<RecordHeader>, MalformedInput> {
+    match bytes.first() {
+        None => return Ok(None),
+        Some(1) => {}
+        Some(_) => return Err(MalformedInput::FastCgiVersion),
+    }
+    let Some(header) = bytes.first_chunk::<HEADER_BYTES>() else { return Ok(None) };
+    Ok(Some(RecordHeader {
+        kind: header[1],
+        request: u16::from_be_bytes([header[2], header[3]]),
+        content_bytes: usize::from(u16::from_be_bytes([header[4], header[5]])),
+        padding_bytes: usize::from(header[6]),
+    }))
+}
+
 /// The position of one record within the bytes that it was parsed from.
+#[cfg(test)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// The record type; [`kind`] has the known ones.
@@ -56,22 +87,13 @@
 }
 
 /// Parses the record at the start of `bytes`; `None` while it is incomplete.
+#[cfg(test)]
 pub fn parse_record(bytes: &[u8]) -> Result<Option<Record>, MalformedInput> {
-    match bytes.first() {
-        None => return Ok(None),
-        Some(1) => {}
-        Some(_) => return Err(MalformedInput::FastCgiVersion),
-    }
-    if bytes.len() < HEADER_BYTES {
-        return Ok(None);
-    }
-    let content_bytes = usize::from(u16::from_be_bytes([bytes[4], bytes[5]]));
-    let size = HEADER_BYTES + content_bytes + usize::from(bytes[6]);
-    if bytes.len() < size {
-        return Ok(None);
-    }
-    let request = u16::from_be_bytes([bytes[2], bytes[3]]);
-    Ok(Some(Record { kind: bytes[1], request, content: HEADER_BYTES..HEADER_BYTES + content_bytes, size }))
+    let Some(header) = parse_header(bytes)? else { return Ok(None) };
+    let content = HEADER_BYTES..HEADER_BYTES + header.content_bytes;
+    let size = content.end + header.padding_bytes;
+    let record = Record { kind: header.kind, request: header.request, content, size };
+    Ok((bytes.len() >= size).then_some(record))
 }
 
 /// Writes content as one record, or as several if it is too long for one. Records are padded to a multiple of
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -24,6 +24,10 @@
     /// FastCGI: the content of a `FCGI_BEGIN_REQUEST` record is too short.
     #[error("FastCGI begin-request record is too short")]
     ShortBeginRequest,
+    /// FastCGI: the content of a record without request data is longer than
+    /// [`responder::MAX_CONTROL_BYTES`].
+    #[error("FastCGI control record is too long")]
+    ControlRecordTooLong,
     /// FastCGI: a request begins under the request id of an open one.
     #[error("FastCGI request id is already in use")]
     DuplicateRequest,
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -1,8 +1,12 @@
 //! The Responder role of a FastCGI connection: assembles records into requests and encodes the responses.
+//!
+//! The content of parameters and bodies is taken as it arrives, so that no record has to be buffered whole.
+//! What can't be kept, because it is too long or there is no memory for it, is skipped, and the records
+//! behind it are read as usual.
 
 use std::collections::BTreeMap;
 
-use super::fastcgi::{self, kind, ProtocolStatus};
+use super::fastcgi::{self, kind, ProtocolStatus, RecordHeader, HEADER_BYTES};
 use super::MalformedInput;
 
 /// Limit on the requests that are open on one connection.
@@ -11,16 +15,31 @@
 pub const MAX_PARAMS_BYTES: usize = 16 * 1024;
 /// Limit on the body of a request, in bytes.
 pub const MAX_BODY_BYTES: usize = 2 * 1024;
+/// Limit on the content of a record that is handled as a whole, in bytes: one that begins a request, or
+/// queries variables.
+pub const MAX_CONTROL_BYTES: usize = 1024;
+/// The most bytes that [`Responder::handle_bytes`] leaves unconsumed.
+pub const MAX_UNCONSUMED_BYTES: usize = HEADER_BYTES + MAX_CONTROL_BYTES + fastcgi::MAX_PADDING_BYTES;
 
 /// The number of the Responder role in a begin-request record.
 const RESPONDER_ROLE: u16 = 1;
 /// The flag of a begin-request record that keeps the connection open after the response.
 const KEEP_CONNECTION_FLAG: u8 = 1;
 
+/// Why the content of a request was not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DroppedContent {
+    /// The parameters or the body exceed their limit. The records of the request that still arrive are
+    /// skipped: it can be answered without waiting for them.
+    TooLong,
+    /// There was no memory for them. The request is complete.
+    OutOfMemory,
+}
+
 /// An event decoded from the records received on a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Incoming {
-    /// A complete request.
+    /// A request that was received completely, or that is too long.
     Request {
         /// The request id on this connection, which can be used again once the request is answered.
         slot: u16,
@@ -28,20 +47,49 @@
         params: Vec<u8>,
         /// The body.
         body: Vec<u8>,
-        /// Whether the parameters or the body exceed their limit. Both are then empty, and the records of the
-        /// request that still arrive are skipped: it can be answered without waiting for them.
-        too_long: bool,
+        /// Why `params` and `body` are empty; `None` if they were kept.
+        dropped: Option<DroppedContent>,
     },
     /// The load balancer aborts a complete request, given by its id, that is not answered yet.
     Abort(u16),
 }
 
+/// The parameters or the body of a request that is being received.
+struct Content {
+    bytes: Vec<u8>,
+    /// Bytes received, also of content that was not kept.
+    received_bytes: usize,
+    max_bytes: usize,
+}
+
+impl Content {
+    fn new(max_bytes: usize) -> Content {
+        Content { bytes: Vec::new(), received_bytes: 0, max_bytes }
+    }
+
+    /// Memory that the bytes take once `additional` ones are appended.
+    fn capacity_with(&self, additional: usize) -> usize {
+        let needed = self.bytes.len() + additional;
+        if needed <= self.bytes.capacity() {
+            return self.bytes.capacity();
+        }
+        // Doubled, so that bytes which arrive one at a time are not copied each time.
+        needed.max(2 * self.bytes.capacity()).min(self.max_bytes)
+    }
+
+    fn append(&mut self, bytes: &[u8]) {
+        let capacity = self.capacity_with(bytes.len());
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.extend_from_slice(bytes);
+    }
+}
+
 /// A request that was begun and not answered yet.
-#[derive(Default)]
 struct OpenRequest {
-    params: Vec<u8>,
-    body: Vec<u8>,
-    too_long: bool,
+    params: Content,
+    body: Content,
+    /// Set once the content is not kept.
+    dropped: Option<DroppedContent>,
     /// Whether the end of the parameters was received.
     params_done: bool,
     /// Whether the request was handed out as [`Incoming::Request`], which empties `params` and `body`.
@@ -50,28 +98,82 @@
 }
 
 impl OpenRequest {
-    /// Appends the content of a `PARAMS` or `STDIN` record.
-    fn append(&mut self, kind: u8, bytes: &[u8]) {
-        let (stream, max_bytes) = match kind {
-            kind::PARAMS => (&mut self.params, MAX_PARAMS_BYTES),
-            _ => (&mut self.body, MAX_BODY_BYTES),
-        };
-        // Checked before the bytes are copied, so that no memory is allocated beyond the limit.
-        if stream.len() + bytes.len() > max_bytes {
-            self.too_long = true;
+    fn new(keep_connection: bool) -> OpenRequest {
+        OpenRequest {
+            params: Content::new(MAX_PARAMS_BYTES),
+            body: Content::new(MAX_BODY_BYTES),
+            dropped: None,
+            params_done: false,
+            complete: false,
+            keep_connection,
         }
-        if !self.too_long {
-            stream.extend_from_slice(bytes);
+    }
+
+    fn content(&mut self, kind: u8) -> &mut Content {
+        if kind == kind::PARAMS {
+            &mut self.params
+        } else {
+            &mut self.body
+        }
+    }
+
+    /// Appends content of a `PARAMS` or `STDIN` record. `spare_bytes` is the memory that may be allocated for
+    /// it.
+    fn append(&mut self, kind: u8, bytes: &[u8], spare_bytes: usize) {
+        let content = self.content(kind);
+        content.received_bytes += bytes.len();
+        // Checked before the bytes are copied, so that no memory is allocated beyond the limits.
+        if content.received_bytes > content.max_bytes {
+            return self.drop_content(DroppedContent::TooLong);
+        }
+        if self.dropped.is_some() {
+            return;
         }
+        let content = self.content(kind);
+        if content.capacity_with(bytes.len()) - content.bytes.capacity() > spare_bytes {
+            return self.drop_content(DroppedContent::OutOfMemory);
+        }
+        content.append(bytes);
+    }
+
+    fn drop_content(&mut self, reason: DroppedContent) {
+        self.dropped = Some(reason);
+        (self.params.bytes, self.body.bytes) = Default::default();
+    }
+
+    /// Hands the request out.
+    fn complete(&mut self, slot: u16) -> Incoming {
+        self.complete = true;
+        let (params, body) = (std::mem::take(&mut self.params.bytes), std::mem::take(&mut self.body.bytes));
+        Incoming::Request { slot, params, body, dropped: self.dropped }
+    }
+
+    /// Memory allocated for parameters and body.
+    fn buffered_bytes(&self) -> usize {
+        self.params.bytes.capacity() + self.body.bytes.capacity()
     }
 }
 
+/// A record whose header was read and whose content is taken as it arrives.
+#[derive(Clone, Copy)]
+struct PartialRecord {
+    /// [`kind::PARAMS`] or [`kind::STDIN`].
+    kind: u8,
+    slot: u16,
+    remaining_bytes: usize,
+    padding_bytes: usize,
+}
+
 /// The open requests of one connection, and the bytes to be written on it.
 #[derive(Default)]
 pub struct Responder {
     max_connections: usize,
     /// The open requests by request id.
     slots: BTreeMap<u16, OpenRequest>,
+    /// The record whose content comes next.
+    partial_record: Option<PartialRecord>,
+    /// Bytes to be skipped: padding, and the content of records that are not used.
+    skipped_bytes: usize,
     /// Bytes to be written to the peer.
     pub output: Vec<u8>,
     close_requested: bool,
@@ -84,29 +186,96 @@
         Responder { max_connections, ..Responder::default() }
     }
 
-    /// Handles the record at the start of `bytes`. Returns the number of bytes consumed (0 if the record is
-    /// incomplete), and the request that the record completes or aborts.
-    pub fn handle_record(&mut self, bytes: &[u8]) -> Result<(usize, Option<Incoming>), MalformedInput> {
-        let Some(record) = fastcgi::parse_record(bytes)? else { return Ok((0, None)) };
-        let content = &bytes[record.content.clone()];
-        let incoming = match (record.kind, record.request) {
-            (kind::GET_VALUES, 0) => self.answer_get_values(content).map(|()| None)?,
+    /// Handles what is at the start of `bytes`: a record's header, some of its content, or a record that is
+    /// handled as a whole. Returns the number of bytes consumed, and the request that is completed or
+    /// aborted.
+    ///
+    /// 0 bytes are consumed if more have to be received first; then [`MAX_UNCONSUMED_BYTES`] are enough. A
+    /// request for which [`Responder::buffered_bytes`] would exceed `max_buffered_bytes` loses its content.
+    pub fn handle_bytes(
+        &mut self,
+        bytes: &[u8],
+        max_buffered_bytes: usize,
+    ) -> Result<(usize, Option<Incoming>), MalformedInput> {
+        if self.skipped_bytes > 0 {
+            let skipped = self.skipped_bytes.min(bytes.len());
+            self.skipped_bytes -= skipped;
+            return Ok((skipped, None));
+        }
+        if let Some(record) = self.partial_record {
+            return Ok(self.handle_content(record, bytes, max_buffered_bytes));
+        }
+        let Some(header) = fastcgi::parse_header(bytes)? else { return Ok((0, None)) };
+        match (header.kind, header.request) {
+            (kind::GET_VALUES, 0) => self.handle_control(header, bytes),
             (unknown, 0) => {
-                fastcgi::write_record(
-                    &mut self.output,
-                    kind::UNKNOWN_TYPE,
-                    0,
-                    &[unknown, 0, 0, 0, 0, 0, 0, 0],
-                );
-                None
+                let content = [unknown, 0, 0, 0, 0, 0, 0, 0];
+                fastcgi::write_record(&mut self.output, kind::UNKNOWN_TYPE, 0, &content);
+                Ok((self.skip_record(header), None))
+            }
+            (kind @ (kind::PARAMS | kind::STDIN), slot) if header.content_bytes > 0 => {
+                let (remaining_bytes, padding_bytes) = (header.content_bytes, header.padding_bytes);
+                self.partial_record = Some(PartialRecord { kind, slot, remaining_bytes, padding_bytes });
+                Ok((HEADER_BYTES, None))
+            }
+            (kind::BEGIN_REQUEST | kind::ABORT_REQUEST | kind::PARAMS | kind::STDIN, _) => {
+                self.handle_control(header, bytes)
             }
-            (kind::BEGIN_REQUEST, slot) => self.begin_request(slot, content).map(|()| None)?,
-            (kind::ABORT_REQUEST, slot) => self.handle_abort(slot),
-            (kind @ (kind::PARAMS | kind::STDIN), slot) => self.handle_stream_data(kind, slot, content),
             // Record types that the Responder role does not use.
-            _ => None,
+            _ => Ok((self.skip_record(header), None)),
+        }
+    }
+
+    /// Skips the content and padding of a record. Returns the size of its header.
+    fn skip_record(&mut self, header: RecordHeader) -> usize {
+        self.skipped_bytes = header.content_bytes + header.padding_bytes;
+        HEADER_BYTES
+    }
+
+    /// Handles a record as a whole, once all of it has been received: what it completes must not be answered
+    /// before its last byte has arrived.
+    fn handle_control(
+        &mut self,
+        header: RecordHeader,
+        bytes: &[u8],
+    ) -> Result<(usize, Option<Incoming>), MalformedInput> {
+        if header.content_bytes > MAX_CONTROL_BYTES {
+            return Err(MalformedInput::ControlRecordTooLong);
+        }
+        let content_end = HEADER_BYTES + header.content_bytes;
+        let size = content_end + header.padding_bytes;
+        if bytes.len() < size {
+            return Ok((0, None));
+        }
+        let content = &bytes[HEADER_BYTES..content_end];
+        let slot = header.request;
+        let incoming = match header.kind {
+            kind::GET_VALUES => self.answer_get_values(content).map(|()| None)?,
+            kind::BEGIN_REQUEST => self.begin_request(slot, content).map(|()| None)?,
+            kind::ABORT_REQUEST => self.handle_abort(slot),
+            kind => self.handle_stream_end(kind, slot),
         };
-        Ok((record.size, incoming))
+        Ok((size, incoming))
+    }
+
+    /// Takes content of the record in progress from the start of `bytes`.
+    fn handle_content(
+        &mut self,
+        record: PartialRecord,
+        bytes: &[u8],
+        max_buffered_bytes: usize,
+    ) -> (usize, Option<Incoming>) {
+        let consumed = record.remaining_bytes.min(bytes.len());
+        let incoming =
+            self.handle_stream_data(record.kind, record.slot, &bytes[..consumed], max_buffered_bytes);
+        let remaining_bytes = record.remaining_bytes - consumed;
+        if remaining_bytes > 0 {
+            self.partial_record = Some(PartialRecord { remaining_bytes, ..record });
+        } else {
+            self.partial_record = None;
+            self.skipped_bytes = record.padding_bytes;
+        }
+        (consumed, incoming)
     }
 
     /// Number of requests that were begun and are not answered.
@@ -114,9 +283,14 @@
         self.slots.len()
     }
 
-    /// Bytes of parameters and bodies held for requests that are not complete.
+    /// Memory allocated for the parameters and bodies of requests that are not complete.
     pub fn buffered_bytes(&self) -> usize {
-        self.slots.values().map(|request| request.params.len() + request.body.len()).sum()
+        self.slots.values().map(OpenRequest::buffered_bytes).sum()
+    }
+
+    /// Whether the bytes handled so far end within a record.
+    pub fn is_within_record(&self) -> bool {
+        self.partial_record.is_some() || self.skipped_bytes > 0
     }
 
     /// Number of requests that are complete and not answered.
@@ -168,10 +342,7 @@
         } else if self.slots.len() >= MAX_OPEN_REQUESTS {
             self.reject(slot, ProtocolStatus::Overloaded);
         } else {
-            self.slots.insert(
-                slot,
-                OpenRequest { keep_connection: flags & KEEP_CONNECTION_FLAG != 0, ..OpenRequest::default() },
-            );
+            self.slots.insert(slot, OpenRequest::new(flags & KEEP_CONNECTION_FLAG != 0));
         }
         Ok(())
     }
@@ -193,26 +364,36 @@
         None
     }
 
-    fn handle_stream_data(&mut self, kind: u8, slot: u16, content: &[u8]) -> Option<Incoming> {
+    /// Handles the end of a request's parameters or of its body, which completes the request.
+    fn handle_stream_end(&mut self, kind: u8, slot: u16) -> Option<Incoming> {
         let request = self.slots.get_mut(&slot).filter(|request| !request.complete)?;
-        if kind == kind::PARAMS && content.is_empty() {
+        if kind == kind::PARAMS {
             request.params_done = true;
-        } else if kind == kind::STDIN && content.is_empty() {
-            // `params_done` is not required: a request without parameters may have no such stream.
-            request.complete = true;
-            let (params, body) = (std::mem::take(&mut request.params), std::mem::take(&mut request.body));
-            return Some(Incoming::Request { slot, params, body, too_long: request.too_long });
-        } else if kind == kind::STDIN || !request.params_done {
-            request.append(kind, content);
-            if request.too_long {
-                // The peer exceeds the limits, so the connection is closed after the response.
-                (request.complete, request.keep_connection) = (true, false);
-                (request.params, request.body) = Default::default();
-                let (params, body) = Default::default();
-                return Some(Incoming::Request { slot, params, body, too_long: true });
-            }
+            return None;
         }
-        None
+        // `params_done` is not required: a request without parameters may have no such stream.
+        Some(request.complete(slot))
+    }
+
+    fn handle_stream_data(
+        &mut self,
+        kind: u8,
+        slot: u16,
+        content: &[u8],
+        max_buffered_bytes: usize,
+    ) -> Option<Incoming> {
+        let spare_bytes = max_buffered_bytes.saturating_sub(self.buffered_bytes());
+        let request = self.slots.get_mut(&slot).filter(|request| !request.complete)?;
+        if kind == kind::PARAMS && request.params_done {
+            return None;
+        }
+        request.append(kind, content, spare_bytes);
+        if request.dropped != Some(DroppedContent::TooLong) {
+            return None;
+        }
+        // The peer exceeds the limits, so the connection is closed after the response.
+        request.keep_connection = false;
+        Some(request.complete(slot))
     }
 
     fn answer_get_values(&mut self, content: &[u8]) -> Result<(), MalformedInput> {
--- a/crates/server/src/wire/responder/tests.rs
+++ b/crates/server/src/wire/responder/tests.rs
@@ -18,10 +18,18 @@
     out
 }
 
-fn feed(responder: &mut Responder, mut bytes: &[u8]) -> Result<Vec<Incoming>, MalformedInput> {
+fn feed(responder: &mut Responder, bytes: &[u8]) -> Result<Vec<Incoming>, MalformedInput> {
+    feed_within(responder, bytes, usize::MAX)
+}
+
+fn feed_within(
+    responder: &mut Responder,
+    mut bytes: &[u8],
+    max_buffered_bytes: usize,
+) -> Result<Vec<Incoming>, MalformedInput> {
     let mut incoming = Vec::new();
     loop {
-        let (used, completed) = responder.handle_record(bytes)?;
+        let (used, completed) = responder.handle_bytes(bytes, max_buffered_bytes)?;
         incoming.extend(completed);
         bytes = &bytes[used..];
         if used == 0 {
@@ -41,7 +49,7 @@
 }
 
 fn complete_request(slot: u16, params: &[u8], body: &[u8]) -> Incoming {
-    Incoming::Request { slot, params: params.to_vec(), body: body.to_vec(), too_long: false }
+    Incoming::Request { slot, params: params.to_vec(), body: body.to_vec(), dropped: None }
 }
 
 #[test]
@@ -165,7 +173,8 @@
     let bytes = request(1, b"p", &[0; MAX_BODY_BYTES + 1]);
     // The record that ends the body is held back: it and all further records of this request are ignored.
     let (too_long, end) = bytes.split_at(bytes.len() - fastcgi::HEADER_BYTES);
-    let expected = Incoming::Request { slot: 1, params: vec![], body: vec![], too_long: true };
+    let dropped = Some(DroppedContent::TooLong);
+    let expected = Incoming::Request { slot: 1, params: vec![], body: vec![], dropped };
     assert_eq!(feed(&mut responder, too_long).expect("valid"), vec![expected]);
     assert_eq!(feed(&mut responder, &[end, end].concat()).expect("valid"), vec![]);
     responder.respond(1, b"no");
@@ -201,3 +210,95 @@
         assert_eq!(responder.open_requests(), responder.complete_requests());
     }
 }
+
+/// Guards against a connection that can't be read any further because there is no memory for one request.
+#[test]
+fn request_without_memory_is_complete_at_its_end_and_the_next_one_is_read() {
+    let mut responder = Responder::default();
+    let dropped = request(1, &[1; 500], &[2; 1000]);
+    let kept = request(2, b"p", b"b");
+    let incoming = feed_within(&mut responder, &[dropped, kept].concat(), 700).expect("valid");
+    let dropped = Some(DroppedContent::OutOfMemory);
+    assert_eq!(
+        incoming,
+        vec![
+            Incoming::Request { slot: 1, params: vec![], body: vec![], dropped },
+            complete_request(2, b"p", b"b")
+        ]
+    );
+    // A request that exceeds its limits is still recognized as such.
+    let too_long = request(3, b"", &[0; MAX_BODY_BYTES + 1]);
+    let dropped = Some(DroppedContent::TooLong);
+    assert_eq!(
+        feed_within(&mut responder, &too_long, 0).expect("valid"),
+        vec![Incoming::Request { slot: 3, params: vec![], body: vec![], dropped }]
+    );
+}
+
+/// Guards against memory beyond the limit: no more than it is allocated, however the content is split.
+#[test]
+fn memory_stays_within_the_limit_at_every_byte() {
+    for max_buffered_bytes in [0, 1, 100, 1000, 3000, 5000] {
+        let mut responder = Responder::default();
+        for slot in 1..=4 {
+            feed(&mut responder, &begin(slot, 1, 1)).expect("valid");
+        }
+        let mut bytes = Vec::new();
+        for slot in (1..=4).cycle().take(40) {
+            fastcgi::write_record(&mut bytes, kind::PARAMS, slot, &[7; 333]);
+        }
+        let mut unconsumed = Vec::new();
+        for byte in bytes {
+            unconsumed.push(byte);
+            let (used, _) = responder.handle_bytes(&unconsumed, max_buffered_bytes).expect("valid");
+            unconsumed.drain(..used);
+            assert!(responder.buffered_bytes() <= max_buffered_bytes);
+        }
+    }
+}
+
+#[test]
+fn any_split_of_the_input_gives_the_same_requests() {
+    let bytes = [request(1, &[1; 300], &[2; 500]), request(2, b"", b"body"), begin(3, 1, 1)].concat();
+    let whole = feed(&mut Responder::default(), &bytes).expect("valid");
+    for part_bytes in [1, 2, 7, 8, 9, 100, 511] {
+        let mut responder = Responder::default();
+        let (mut incoming, mut unconsumed) = (Vec::new(), Vec::new());
+        for part in bytes.chunks(part_bytes) {
+            unconsumed.extend_from_slice(part);
+            loop {
+                let (used, completed) = responder.handle_bytes(&unconsumed, usize::MAX).expect("valid");
+                incoming.extend(completed);
+                unconsumed.drain(..used);
+                if used == 0 {
+                    break;
+                }
+            }
+            assert!(unconsumed.len() < MAX_UNCONSUMED_BYTES);
+        }
+        assert_eq!(incoming, whole, "{part_bytes}");
+    }
+}
+
+#[test]
+fn control_record_that_is_too_long_is_malformed() {
+    let mut bytes = Vec::new();
+    fastcgi::write_record(&mut bytes, kind::GET_VALUES, 0, &[0; MAX_CONTROL_BYTES + 1]);
+    let too_long = MalformedInput::ControlRecordTooLong;
+    assert_eq!(feed(&mut Responder::default(), &bytes[..HEADER_BYTES]), Err(too_long));
+}
+
+#[test]
+fn request_is_complete_only_with_the_padding_of_its_last_record() {
+    let mut bytes = request(1, b"p", b"b");
+    let last_record = bytes.len() - HEADER_BYTES;
+    bytes[last_record + 6] = 3;
+    let mut responder = Responder::default();
+    let (head, end) = bytes.split_at(last_record);
+    assert_eq!(feed(&mut responder, head), Ok(vec![]));
+    let end = [end, &[0; 3]].concat();
+    for length in 0..end.len() {
+        assert_eq!(feed(&mut responder, &end[..length]), Ok(vec![]), "{length}");
+    }
+    assert_eq!(feed(&mut responder, &end), Ok(vec![complete_request(1, b"p", b"b")]));
+}
--- a/crates/server/tests/bad_clients.rs
+++ b/crates/server/tests/bad_clients.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use common::balancer::encode_record;
@@ -119,6 +120,72 @@
     assert!(env.is_alive());
 }
 
+/// Begins a request in every slot, each with parameters that stay just within their limit and never end, and
+/// does the same again once the server has closed the connection.
+fn send_endless_requests(listen: SocketAddr, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect(listen) else { continue };
+        stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time limit");
+        for slot in 1..=32 {
+            let params = encode_record(4, slot, &[0; 1_000]).repeat(16);
+            if stream.write_all(&[begin_request_record(slot), params].concat()).is_err() {
+                break;
+            }
+        }
+        let is_waiting = |e: &std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+        while stream.read(&mut [0; 64]).as_ref().is_err_and(is_waiting) && !stop.load(Ordering::Relaxed) {}
+    }
+}
+
+/// Ends the bad clients, also when a check fails.
+struct StopOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Guards against requests without an answer: bad clients use up the memory for messages from peers, and a
+/// load balancer's connection with open requests must still be read.
+#[test]
+fn requests_behind_an_open_one_are_answered_while_bad_clients_use_up_the_memory() {
+    const BAD_CLIENTS: usize = 60;
+    const MEMORY_MB: usize = 16;
+    let mut env = TestEnvironment::start_registered(|config| {
+        with_long_idle_timeout(config);
+        config["limits"]["memory_mb"] = MEMORY_MB.into();
+        config["limits"]["sockets"] = 128.into();
+    });
+    let mut balancer = env.launch_request("open");
+    let (listen, stop) = (env.listen, AtomicBool::new(false));
+    let mut peak_memory_kb = 0;
+    std::thread::scope(|scope| {
+        for _ in 0..BAD_CLIENTS {
+            scope.spawn(|| send_endless_requests(listen, &stop));
+        }
+        let _stop = StopOnDrop(&stop);
+        for _ in 0..300 {
+            // Several requests in one write, with bodies of the largest size that the protocol allows. They
+            // are answered at once, as their class does not exist.
+            let burst = (2..=7).flat_map(|slot| {
+                let request = Request::new(slot, &format!("{slot:016x}")).body(&[7; 2_048]);
+                request.with("SCRIPT_NAME", "/svc/unknown").bytes()
+            });
+            balancer.send_bytes(&burst.collect::<Vec<u8>>());
+            let answers: Vec<Option<u16>> =
+                (2..=7).map(|_| balancer.try_answer().map(|a| a.status)).collect();
+            assert_eq!(answers, [Some(400); 6]);
+            peak_memory_kb = env.memory_kb().max(peak_memory_kb);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    });
+    assert!(peak_memory_kb < MEMORY_MB * 1_024, "{peak_memory_kb} KB");
+    env.agent.send_outcome("open", "fine", b"r");
+    assert_eq!(balancer.answer().body, b"r");
+    assert!(env.is_alive());
+}
+
 #[test]
 fn silent_connections_do_not_keep_load_balancers_out() {
     let mut env = TestEnvironment::start_registered(|config| {
