A slowly written request no longer ends the reading of a connection with open requests

Cause: 2 s after the first byte of an incomplete request the connection was read no more, but it stayed open for the answers that it owed, so what was written meanwhile was read by nobody.

Change: the time limit of an incomplete request counts only while no request on the connection awaits its response; from the last response on it has 2 s once more. A new connection without a complete request is closed after 2 s as before.

--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -43,8 +43,8 @@
 const READ_BUFFER_BYTES: usize = 2 * MAX_UNCONSUMED_BYTES;
 /// A connection whose peer accepts no bytes for this long is closed.
 const WRITE_TIMEOUT: Micros = 30_000_000;
-/// Time limit for receiving a complete request: on a new connection from its start, later from a request's
-/// first byte. Load balancers connect when they have a request and send it in one go. A peer that sends
+/// Time limit for receiving a complete request while none is in flight: on a new connection from its start,
+/// later from a request's first byte or the last response, whichever is later. Load balancers connect when they have a request and send it in one go. A peer that sends
 /// nothing, or never completes a request, must be disconnected within 3 s, as it occupies a table entry that
 /// others need. After its first request a connection may be silent for as long as the listener's idle
 /// timeout.
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -70,11 +70,21 @@
     }
 
     /// When the connection is closed if no complete request arrives; `None` if there is no limit now.
+    ///
+    /// While responses are awaited there is none: the connection could not be closed, and whatever the peer
+    /// writes on it until then has to be answered.
     pub(super) fn request_deadline(&self) -> Option<Micros> {
-        let complete_by = self.request_awaited_since.map(|since| since + REQUEST_TIMEOUT);
+        let awaited_since = self.request_awaited_since.filter(|_| self.responder.complete_requests() == 0);
+        let complete_by = awaited_since.map(|since| since + REQUEST_TIMEOUT);
         complete_by.into_iter().chain(self.reject_until).min()
     }
 
+    /// Gives a request that is being received all its time again, from the response to another one on.
+    pub(super) fn restart_request_timeout(&mut self) {
+        let now = self.context.clock.now();
+        self.request_awaited_since = self.request_awaited_since.map(|_| now);
+    }
+
     /// Starts the timeout of a partly received request. Also stops reading from a peer that sends without end
     /// and never completes a request.
     fn track_partial_request(&mut self) {
--- a/crates/server/src/peers/connection/output.rs
+++ b/crates/server/src/peers/connection/output.rs
@@ -15,6 +15,7 @@
             return;
         }
         self.open_requests.remove(&slot);
+        self.restart_request_timeout();
         if *response == Response::Aborted {
             return self.responder.end_aborted(slot);
         }
--- a/crates/server/tests/bad_clients.rs
+++ b/crates/server/tests/bad_clients.rs
@@ -67,6 +67,46 @@
     assert_eq!(balancer.try_answer(), None);
 }
 
+/// Guards against requests without an answer: one is written slowly behind an open one, and another follows it.
+#[test]
+fn request_written_slowly_behind_an_open_one_is_answered() {
+    let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
+    let mut balancer = env.launch_request("open");
+    let slow = Request::new(2, "slow").bytes();
+    let (first_half, second_half) = slow.split_at(slow.len() / 2);
+    balancer.send_bytes(first_half);
+    // Longer than the 2 s in which a request must be complete when nothing else is open.
+    std::thread::sleep(Duration::from_millis(2_300));
+    balancer.send_bytes(&[second_half, &Request::new(3, "usual").bytes()].concat());
+    for (slot, id) in [(2, "slow"), (3, "usual")] {
+        assert_eq!(env.agent.expect_command("launch").0, id);
+        env.agent.send_outcome(id, "fine", b"r");
+        let answer = balancer.answer();
+        assert_eq!((answer.slot, answer.status), (slot, 200));
+    }
+    env.agent.send_outcome("open", "fine", b"r");
+    assert_eq!(balancer.answer().slot, 1);
+}
+
+/// Guards against a close right after the last response, while a request is being received for longer than 2 s:
+/// from that response on it has this time again.
+#[test]
+fn half_received_request_may_be_completed_after_the_open_one_is_answered() {
+    let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
+    let mut balancer = env.launch_request("open");
+    let slow = Request::new(2, "slow").bytes();
+    let (first_half, second_half) = slow.split_at(slow.len() / 2);
+    balancer.send_bytes(first_half);
+    std::thread::sleep(Duration::from_millis(2_300));
+    env.agent.send_outcome("open", "fine", b"r");
+    assert_eq!(balancer.answer().slot, 1);
+    std::thread::sleep(Duration::from_millis(500));
+    balancer.send_bytes(second_half);
+    assert_eq!(env.agent.expect_command("launch").0, "slow");
+    env.agent.send_outcome("slow", "fine", b"r");
+    assert_eq!(balancer.answer().slot, 2);
+}
+
 #[test]
 fn connection_may_be_idle_between_requests() {
     let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
