A request that arrived during a standstill is read to its end before its time limit counts

Callers would see: a server reads the start of a request, stands still for over 2 s while the rest arrives, and then closes the connection without an answer, though it has had the whole request in its socket.

Cause: the time limit of an incomplete request was checked not only when the socket is empty but after each read of 2 KB as well, to end peers that send without end. A request of which more than one read was left was cut off.

Change: after a read only bytes are limited: 576 KB without a complete request, or after the time limit. The time is checked when the socket is empty, so that all that arrived before is read.

--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -49,7 +49,7 @@
 /// others need. After its first request a connection may be silent for as long as the listener's idle
 /// timeout.
 const REQUEST_TIMEOUT: Micros = 2_000_000;
-/// Limit on the bytes read without completing a request: the size of [`MAX_OPEN_REQUESTS`] requests of
+/// Limit on the bytes read without completing a request, or after the time limit: the size of [`MAX_OPEN_REQUESTS`] requests of
 /// maximum length. The connection of a peer that sends more is closed.
 const MAX_BYTES_WITHOUT_REQUEST: usize = MAX_OPEN_REQUESTS * (MAX_PARAMS_BYTES + MAX_BODY_BYTES);
 /// Memory charged for an open request in addition to its parameters and body: its fields, and later its
@@ -136,6 +136,8 @@
     request_awaited_since: Option<Micros>,
     /// Bytes read since the last complete request.
     bytes_without_request: usize,
+    /// Bytes read since the time limit has passed.
+    overdue_bytes: usize,
     /// The peer has closed its side, or nothing more is read from it.
     input_closed: bool,
     /// The connection closes as soon as no request is open on it.
@@ -179,6 +181,7 @@
             last_write_progress: now,
             request_awaited_since: Some(now),
             bytes_without_request: 0,
+            overdue_bytes: 0,
             input_closed: false,
             draining: false,
             evicted: false,
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -36,6 +36,7 @@
         self.bytes_without_request += bytes;
         self.handle_records().await;
         self.track_partial_request();
+        self.limit_useless_bytes(bytes);
     }
 
     /// Stops reading for good and drops requests that are not complete.
@@ -85,8 +86,7 @@
         self.request_awaited_since = self.request_awaited_since.map(|_| now);
     }
 
-    /// Starts the timeout of a partly received request. Also stops reading from a peer that sends without end
-    /// and never completes a request.
+    /// Starts the timeout of a partly received request.
     fn track_partial_request(&mut self) {
         let has_partial_request = self.responder.open_requests() > self.responder.complete_requests();
         let is_within_record = self.responder.is_within_record() || !self.buffer.unread().is_empty();
@@ -95,10 +95,14 @@
         } else if self.activity.has_requested.get() {
             self.request_awaited_since = None;
         }
-        if self.bytes_without_request > MAX_BYTES_WITHOUT_REQUEST {
+    }
+
+    /// Stops reading from a peer that sends without end: without completing a request, or after the time limit.
+    /// What is read after the time limit may have arrived before it, if the process stood still meanwhile.
+    fn limit_useless_bytes(&mut self, bytes: usize) {
+        self.overdue_bytes = if self.is_request_overdue() { self.overdue_bytes + bytes } else { 0 };
+        if self.bytes_without_request.max(self.overdue_bytes) > MAX_BYTES_WITHOUT_REQUEST {
             self.stop_reading(InputEnd::TooManyBytes);
-        } else if self.is_request_overdue() {
-            self.stop_reading(InputEnd::RequestOverdue);
         }
     }
 
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -122,7 +122,12 @@
 
 /// The FastCGI records of a health check.
 fn health_check_bytes() -> Vec<u8> {
-    let mut params = Vec::new();
+    health_check_bytes_with(&[])
+}
+
+/// The FastCGI records of a health check with further encoded parameters.
+fn health_check_bytes_with(further_params: &[u8]) -> Vec<u8> {
+    let mut params = further_params.to_vec();
     for (name, value) in [("SCRIPT_NAME", "/status/live"), ("REQUEST_METHOD", "GET")] {
         params.extend_from_slice(&[name.len() as u8, value.len() as u8]);
         params.extend_from_slice(name.as_bytes());
@@ -380,3 +385,28 @@
         }
     });
 }
+
+/// Guards against the loss of a request after a standstill of the server: it was written in time, and is longer
+/// than what is read at once.
+#[test]
+fn request_that_arrived_during_a_standstill_is_read_to_its_end() {
+    with_listener(ConnectionTable::new(9, &[1]), 60_000_000, |server| async move {
+        let (mut client, ..) = server.single_connection().await;
+        send_health_check(&mut client).await;
+        server.answer_health_check().await;
+        assert_eq!(next_status(&mut client).await, Some(0));
+        let mut further_params = Vec::new();
+        fastcgi::write_pair(&mut further_params, b"HTTP_X_NOTE", &[b'x'; 8_000]);
+        let bytes = health_check_bytes_with(&further_params);
+        let (start, rest) = bytes.split_at(100);
+        write_now(&client, start);
+        for _ in 0..8 {
+            future::yield_now().await;
+        }
+        write_now(&client, rest);
+        // Nothing of the server runs meanwhile. Longer than the 2 s in which a request must be complete.
+        std::thread::sleep(Duration::from_millis(2_200));
+        server.answer_health_check().await;
+        assert_eq!(next_status(&mut client).await, Some(0));
+    });
+}
