A connection that ends after a response is closed only once nothing else is open on it

Callers would see: behind a request that is too long, or one without the keep-connection flag, another one is written on the same connection; the first is answered, and the connection closed without an answer to the second.

Cause: such a connection was closed as soon as all complete requests were answered, whatever was half received or still in its socket. A draining connection has always waited for both.

Change: one rule for both. Peers that never come to an end are ended by the limits on half-received requests.

Test: request_behind_one_that_is_too_long_is_answered_before_the_close was red before the change (no request reached admission within 20 s), green since; all tests of the server's package passed with it.

--- a/crates/server/src/peers/connection/close.rs
+++ b/crates/server/src/peers/connection/close.rs
@@ -20,8 +20,8 @@
     pub(super) fn is_finished(&self, has_read: bool) -> bool {
         let responses_written = self.responder.complete_requests() == 0 && self.unwritten_bytes() == 0;
         let input_idle = !has_read && self.responder.open_requests() == 0 && self.buffer.unread().is_empty();
-        responses_written
-            && (self.input_closed || self.responder.is_close_requested() || (self.draining && input_idle))
+        let closes_when_idle = self.draining || self.responder.is_close_requested();
+        responses_written && (self.input_closed || (closes_when_idle && input_idle))
     }
 
     /// Whether a new connection needs the table entry and no complete request has arrived on this one.
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -13,7 +13,7 @@
 use crate::peers::connection;
 use crate::peers::stream;
 use crate::wire::fastcgi;
-use crate::wire::responder::MAX_OPEN_REQUESTS;
+use crate::wire::responder::{MAX_BODY_BYTES, MAX_OPEN_REQUESTS};
 use umberloom_settings::shape::Shape;
 
 /// Time limit for an expected event.
@@ -410,3 +410,23 @@
         assert_eq!(next_status(&mut client).await, Some(0));
     });
 }
+
+/// Guards against the loss of a request that was written behind one which ends the connection: it is longer than
+/// what is read at once.
+#[test]
+fn request_behind_one_that_is_too_long_is_answered_before_the_close() {
+    with_listener(ConnectionTable::new(9, &[1]), 60_000_000, |server| async move {
+        let (mut client, ..) = server.single_connection().await;
+        let mut bytes = Vec::new();
+        fastcgi::write_record(&mut bytes, fastcgi::kind::BEGIN_REQUEST, 2, &[0, 1, 1, 0, 0, 0, 0, 0]);
+        fastcgi::write_record(&mut bytes, fastcgi::kind::STDIN, 2, &[0; MAX_BODY_BYTES + 1]);
+        let mut further_params = Vec::new();
+        fastcgi::write_pair(&mut further_params, b"HTTP_X_NOTE", &[b'x'; 8_000]);
+        bytes.extend(health_check_bytes_with(&further_params));
+        write_now(&client, &bytes);
+        assert_eq!(next_status(&mut client).await, Some(0));
+        server.answer_health_check().await;
+        let (received, is_orderly) = read_to_end(&mut client).await;
+        assert!(!received.is_empty() && is_orderly);
+    });
+}
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -298,8 +298,8 @@
         self.slots.values().filter(|request| request.complete).count()
     }
 
-    /// Whether the connection is to be closed: a request without the keep-connection flag, or one that was
-    /// too long, has been answered.
+    /// Whether the connection is to be closed once nothing is open on it: a request without the keep-connection
+    /// flag, or one that was too long, has been answered.
     pub fn is_close_requested(&self) -> bool {
         self.close_requested
     }
