A request's content and its limits have a module of their own in the FastCGI responder

The three tests of half-sent requests wrote the same lines.

Change: wire/responder/open_request.rs has the request, its content and why content is dropped; bad_clients.rs has send_first_half. No behaviour changes.

--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -4,11 +4,16 @@
 //! What can't be kept, because it is too long or there is no memory for it, is skipped, and the records
 //! behind it are read as usual.
 
+mod open_request;
+
 use std::collections::BTreeMap;
 
+use self::open_request::OpenRequest;
 use super::fastcgi::{self, kind, ProtocolStatus, RecordHeader, HEADER_BYTES};
 use super::MalformedInput;
 
+pub use self::open_request::DroppedContent;
+
 /// Limit on the requests that are open on one connection.
 pub const MAX_OPEN_REQUESTS: usize = 32;
 /// Limit on the parameters of a request, in bytes.
@@ -26,16 +31,6 @@
 /// The flag of a begin-request record that keeps the connection open after the response.
 const KEEP_CONNECTION_FLAG: u8 = 1;
 
-/// Why the content of a request was not kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DroppedContent {
-    /// The parameters or the body exceed their limit. The records of the request that still arrive are
-    /// skipped: it can be answered without waiting for them.
-    TooLong,
-    /// There was no memory for them. The request is complete.
-    OutOfMemory,
-}
-
 /// An event decoded from the records received on a connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Incoming {
@@ -54,106 +49,6 @@
     Abort(u16),
 }
 
-/// The parameters or the body of a request that is being received.
-struct Content {
-    bytes: Vec<u8>,
-    /// Bytes received, also of content that was not kept.
-    received_bytes: usize,
-    max_bytes: usize,
-}
-
-impl Content {
-    fn new(max_bytes: usize) -> Content {
-        Content { bytes: Vec::new(), received_bytes: 0, max_bytes }
-    }
-
-    /// Memory that the bytes take once `additional` ones are appended.
-    fn capacity_with(&self, additional: usize) -> usize {
-        let needed = self.bytes.len() + additional;
-        if needed <= self.bytes.capacity() {
-            return self.bytes.capacity();
-        }
-        // Doubled, so that bytes which arrive one at a time are not copied each time.
-        needed.max(2 * self.bytes.capacity()).min(self.max_bytes)
-    }
-
-    fn append(&mut self, bytes: &[u8]) {
-        let capacity = self.capacity_with(bytes.len());
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        self.bytes.extend_from_slice(bytes);
-    }
-}
-
-/// A request that was begun and not answered yet.
-struct OpenRequest {
-    params: Content,
-    body: Content,
-    /// Set once the content is not kept.
-    dropped: Option<DroppedContent>,
-    /// Whether the end of the parameters was received.
-    params_done: bool,
-    /// Whether the request was handed out as [`Incoming::Request`], which empties `params` and `body`.
-    complete: bool,
-    keep_connection: bool,
-}
-
-impl OpenRequest {
-    fn new(keep_connection: bool) -> OpenRequest {
-        OpenRequest {
-            params: Content::new(MAX_PARAMS_BYTES),
-            body: Content::new(MAX_BODY_BYTES),
-            dropped: None,
-            params_done: false,
-            complete: false,
-            keep_connection,
-        }
-    }
-
-    fn content(&mut self, kind: u8) -> &mut Content {
-        if kind == kind::PARAMS {
-            &mut self.params
-        } else {
-            &mut self.body
-        }
-    }
-
-    /// Appends content of a `PARAMS` or `STDIN` record. `spare_bytes` is the memory that may be allocated for
-    /// it.
-    fn append(&mut self, kind: u8, bytes: &[u8], spare_bytes: usize) {
-        let content = self.content(kind);
-        content.received_bytes += bytes.len();
-        // Checked before the bytes are copied, so that no memory is allocated beyond the limits.
-        if content.received_bytes > content.max_bytes {
-            return self.drop_content(DroppedContent::TooLong);
-        }
-        if self.dropped.is_some() {
-            return;
-        }
-        let content = self.content(kind);
-        if content.capacity_with(bytes.len()) - content.bytes.capacity() > spare_bytes {
-            return self.drop_content(DroppedContent::OutOfMemory);
-        }
-        content.append(bytes);
-    }
-
-    fn drop_content(&mut self, reason: DroppedContent) {
-        self.dropped = Some(reason);
-        (self.params.bytes, self.body.bytes) = Default::default();
-    }
-
-    /// Hands the request out.
-    fn complete(&mut self, slot: u16) -> Incoming {
-        self.complete = true;
-        let (params, body) = (std::mem::take(&mut self.params.bytes), std::mem::take(&mut self.body.bytes));
-        Incoming::Request { slot, params, body, dropped: self.dropped }
-    }
-
-    /// Memory allocated for parameters and body.
-    fn buffered_bytes(&self) -> usize {
-        self.params.bytes.capacity() + self.body.bytes.capacity()
-    }
-}
-
 /// A record whose header was read and whose content is taken as it arrives.
 #[derive(Clone, Copy)]
 struct PartialRecord {
--- a/crates/server/tests/bad_clients.rs
+++ b/crates/server/tests/bad_clients.rs
@@ -32,6 +32,14 @@
     encode_record(1, slot, &[0, 1, 1, 0, 0, 0, 0, 0])
 }
 
+/// Sends the first half of a request and returns the second one.
+fn send_first_half(balancer: &mut Balancer, request: &Request) -> Vec<u8> {
+    let bytes = request.bytes();
+    let (first_half, second_half) = bytes.split_at(bytes.len() / 2);
+    balancer.send_bytes(first_half);
+    second_half.to_vec()
+}
+
 #[test]
 fn connection_without_a_complete_request_is_closed() {
     let env = TestEnvironment::start_registered(with_long_idle_timeout);
@@ -57,8 +65,7 @@
 fn connection_with_a_partial_second_request_is_closed() {
     let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
     let mut balancer = env.launch_request("a");
-    let second_request = Request::new(2, "half").bytes();
-    balancer.send_bytes(&second_request[..second_request.len() / 2]);
+    send_first_half(&mut balancer, &Request::new(2, "half"));
     // Longer than the 2 s in which the second request must be complete.
     std::thread::sleep(Duration::from_millis(2_200));
     // The request in flight on the connection is still answered.
@@ -72,12 +79,10 @@
 fn request_written_slowly_behind_an_open_one_is_answered() {
     let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
     let mut balancer = env.launch_request("open");
-    let slow = Request::new(2, "slow").bytes();
-    let (first_half, second_half) = slow.split_at(slow.len() / 2);
-    balancer.send_bytes(first_half);
+    let second_half = send_first_half(&mut balancer, &Request::new(2, "slow"));
     // Longer than the 2 s in which a request must be complete when nothing else is open.
     std::thread::sleep(Duration::from_millis(2_300));
-    balancer.send_bytes(&[second_half, &Request::new(3, "usual").bytes()].concat());
+    balancer.send_bytes(&[second_half, Request::new(3, "usual").bytes()].concat());
     for (slot, id) in [(2, "slow"), (3, "usual")] {
         assert_eq!(env.agent.expect_command("launch").0, id);
         env.agent.send_outcome(id, "fine", b"r");
@@ -94,14 +99,12 @@
 fn half_received_request_may_be_completed_after_the_open_one_is_answered() {
     let mut env = TestEnvironment::start_registered(with_long_idle_timeout);
     let mut balancer = env.launch_request("open");
-    let slow = Request::new(2, "slow").bytes();
-    let (first_half, second_half) = slow.split_at(slow.len() / 2);
-    balancer.send_bytes(first_half);
+    let second_half = send_first_half(&mut balancer, &Request::new(2, "slow"));
     std::thread::sleep(Duration::from_millis(2_300));
     env.agent.send_outcome("open", "fine", b"r");
     assert_eq!(balancer.answer().slot, 1);
     std::thread::sleep(Duration::from_millis(500));
-    balancer.send_bytes(second_half);
+    balancer.send_bytes(&second_half);
     assert_eq!(env.agent.expect_command("launch").0, "slow");
     env.agent.send_outcome("slow", "fine", b"r");
     assert_eq!(balancer.answer().slot, 2);
