--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -44,12 +44,12 @@
 /// A connection whose peer accepts no bytes for this long is closed.
 const WRITE_TIMEOUT: Micros = 30_000_000;
 /// Time limit for receiving a complete request while none is in flight: on a new connection from its start,
-/// later from a request's first byte or the last response, whichever is later. Load balancers connect when they have a request and send it in one go. A peer that sends
-/// nothing, or never completes a request, must be disconnected within 3 s, as it occupies a table entry that
-/// others need. After its first request a connection may be silent for as long as the listener's idle
-/// timeout.
+/// later from a request's first byte or the last response, whichever is later. Load balancers connect when
+/// they have a request and send it in one go. A peer that sends nothing, or never completes a request, must
+/// be disconnected within 3 s, as it occupies a table entry that others need. After its first request a
+/// connection may be silent for as long as the listener's idle timeout.
 const REQUEST_TIMEOUT: Micros = 2_000_000;
-/// Limit on the bytes read without completing a request, or after the time limit: the size of [`MAX_OPEN_REQUESTS`] requests of
+/// Limit on the bytes read without completing a request: the size of [`MAX_OPEN_REQUESTS`] requests of
 /// maximum length. The connection of a peer that sends more is closed.
 const MAX_BYTES_WITHOUT_REQUEST: usize = MAX_OPEN_REQUESTS * (MAX_PARAMS_BYTES + MAX_BODY_BYTES);
 /// Memory charged for an open request in addition to its parameters and body: its fields, and later its
@@ -79,7 +79,7 @@
     pub budget: Budget,
     /// Clock for timeouts and request times.
     pub clock: Clock,
-    /// Limits the warnings about connections that are read no more while requests are open on them.
+    /// Limits the warnings about connections that are not read any further while requests are open on them.
     pub input_end_throttle: Rc<RefCell<LogThrottle>>,
     /// Limits the warnings about requests for which there was no memory.
     pub out_of_memory_throttle: Rc<RefCell<LogThrottle>>,
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -9,7 +9,7 @@
 use crate::wire::responder::{DroppedContent, Incoming};
 use crate::wire::MalformedInput;
 
-/// Why a connection is read no more.
+/// Why nothing more is read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum InputEnd {
     #[error("closed by the peer")]
@@ -48,12 +48,12 @@
         self.buffer.consume(usize::MAX);
     }
 
-    /// Logs that nothing more is read. What the peer writes from then on is never answered, so it is a
-    /// warning if the peer is no more than waiting for responses.
+    /// Logs that nothing more is read. What the peer writes from then on is never answered, so this is a
+    /// warning if requests are open and the peer has not closed its side.
     fn log_input_end(&self, reason: InputEnd) {
         let complete = self.responder.complete_requests();
         let incomplete = self.responder.open_requests() - complete;
-        debug!(self.context.log, "connection read no more"; "incomplete_requests" => incomplete,
+        debug!(self.context.log, "stopped reading connection"; "incomplete_requests" => incomplete,
             "complete_requests" => complete, "bytes" => self.bytes_without_request, "reason" => %reason);
         if complete == 0 || reason == InputEnd::ClosedByPeer {
             return;
@@ -61,7 +61,7 @@
         let Some(suppressed) = self.context.input_end_throttle.borrow_mut().record(Instant::now()) else {
             return;
         };
-        warn!(self.context.log, "connection with open requests read no more"; "suppressed" => suppressed,
+        warn!(self.context.log, "stopped reading connection with open requests"; "suppressed" => suppressed,
             "incomplete_requests" => incomplete, "complete_requests" => complete, "reason" => %reason);
     }
 
