--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -108,15 +108,16 @@
 
     /// Handles the bytes in the buffer and removes them from it, as far as they need no further ones.
     async fn handle_records(&mut self) {
+        let mut max_buffered_bytes = self.memory.receive_limit();
         loop {
-            let max_buffered_bytes = self.memory.receive_limit();
             match self.responder.handle_bytes(self.buffer.unread(), max_buffered_bytes) {
                 Ok((0, _)) => return,
                 Ok((consumed, incoming)) => {
                     self.buffer.consume(consumed);
-                    self.update_memory();
                     if let Some(incoming) = incoming {
+                        self.update_memory();
                         self.handle_incoming(incoming).await;
+                        max_buffered_bytes = self.memory.receive_limit();
                     }
                 }
                 Err(e) => return self.stop_reading(e.into()),
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -110,8 +110,10 @@
             }
             (kind @ (kind::PARAMS | kind::STDIN), slot) if header.content_bytes > 0 => {
                 let (remaining_bytes, padding_bytes) = (header.content_bytes, header.padding_bytes);
-                self.partial_record = Some(PartialRecord { kind, slot, remaining_bytes, padding_bytes });
-                Ok((HEADER_BYTES, None))
+                let record = PartialRecord { kind, slot, remaining_bytes, padding_bytes };
+                let (consumed, incoming) =
+                    self.handle_content(record, &bytes[HEADER_BYTES..], max_buffered_bytes);
+                Ok((HEADER_BYTES + consumed, incoming))
             }
             (kind::BEGIN_REQUEST | kind::ABORT_REQUEST | kind::PARAMS | kind::STDIN, _) => {
                 self.handle_control(header, bytes)
@@ -153,24 +155,24 @@
         Ok((size, incoming))
     }
 
-    /// Takes content of the record in progress from the start of `bytes`.
+    /// Takes content of a record from the start of `bytes`, and its padding as far as it has been received.
     fn handle_content(
         &mut self,
         record: PartialRecord,
         bytes: &[u8],
         max_buffered_bytes: usize,
     ) -> (usize, Option<Incoming>) {
-        let consumed = record.remaining_bytes.min(bytes.len());
-        let incoming =
-            self.handle_stream_data(record.kind, record.slot, &bytes[..consumed], max_buffered_bytes);
-        let remaining_bytes = record.remaining_bytes - consumed;
+        let (content, after) = bytes.split_at(record.remaining_bytes.min(bytes.len()));
+        let incoming = self.handle_stream_data(record.kind, record.slot, content, max_buffered_bytes);
+        let remaining_bytes = record.remaining_bytes - content.len();
         if remaining_bytes > 0 {
             self.partial_record = Some(PartialRecord { remaining_bytes, ..record });
-        } else {
-            self.partial_record = None;
-            self.skipped_bytes = record.padding_bytes;
+            return (content.len(), incoming);
         }
-        (consumed, incoming)
+        let padding_bytes = record.padding_bytes.min(after.len());
+        self.partial_record = None;
+        self.skipped_bytes = record.padding_bytes - padding_bytes;
+        (content.len() + padding_bytes, incoming)
     }
 
     /// Number of requests that were begun and are not answered.
@@ -277,12 +279,17 @@
         content: &[u8],
         max_buffered_bytes: usize,
     ) -> Option<Incoming> {
-        let spare_bytes = max_buffered_bytes.saturating_sub(self.buffered_bytes());
-        let request = self.slots.get_mut(&slot).filter(|request| !request.complete)?;
+        let mut request = self.slots.get_mut(&slot).filter(|request| !request.complete)?;
         if kind == kind::PARAMS && request.params_done {
             return None;
         }
-        request.append(kind, content, spare_bytes);
+        let mut has_memory = true;
+        let growth = request.growth(kind, content.len());
+        if growth > 0 {
+            has_memory = self.buffered_bytes() + growth <= max_buffered_bytes;
+            request = self.slots.get_mut(&slot)?;
+        }
+        request.append(kind, content, has_memory);
         if request.dropped != Some(DroppedContent::TooLong) {
             return None;
         }
--- a/crates/server/src/wire/responder/open_request.rs
+++ b/crates/server/src/wire/responder/open_request.rs
@@ -77,23 +77,29 @@
         }
     }
 
-    /// Appends content of a `PARAMS` or `STDIN` record. `spare_bytes` is the memory that may be allocated for
-    /// it.
-    pub(super) fn append(&mut self, kind: u8, bytes: &[u8], spare_bytes: usize) {
+    /// Memory to be allocated before this many bytes of a `PARAMS` or `STDIN` record can be appended; none if the
+    /// content is not kept.
+    pub(super) fn growth(&self, kind: u8, bytes: usize) -> usize {
+        if self.dropped.is_some() {
+            return 0;
+        }
+        let content = if kind == kind::PARAMS { &self.params } else { &self.body };
+        content.capacity_with(bytes).saturating_sub(content.bytes.capacity())
+    }
+
+    /// Appends content of a `PARAMS` or `STDIN` record. `has_memory` says whether the memory for it may be
+    /// allocated.
+    pub(super) fn append(&mut self, kind: u8, bytes: &[u8], has_memory: bool) {
         let content = self.content(kind);
         content.received_bytes += bytes.len();
         // Checked before the bytes are copied, so that no memory is allocated beyond the limits.
         if content.received_bytes > content.max_bytes {
-            return self.drop_content(DroppedContent::TooLong);
-        }
-        if self.dropped.is_some() {
-            return;
-        }
-        let content = self.content(kind);
-        if content.capacity_with(bytes.len()) - content.bytes.capacity() > spare_bytes {
-            return self.drop_content(DroppedContent::OutOfMemory);
+            self.drop_content(DroppedContent::TooLong);
+        } else if self.dropped.is_none() && !has_memory {
+            self.drop_content(DroppedContent::OutOfMemory);
+        } else if self.dropped.is_none() {
+            self.content(kind).append(bytes);
         }
-        content.append(bytes);
     }
 
     fn drop_content(&mut self, reason: DroppedContent) {
