After its time limit a peer is read for the rest of one request, not for 576 KB

Callers would see: peers that send without end were read for up to 576 KB after their 2 s since, where one request has 18 KB; that is time of the server that others wait for.

Cause: took one limit for two cases. Change: 36 KB after the time limit; 576 KB, all that a peer may have open, only on connections whose requests are all rejected, as a complete request ends nothing there.

--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -52,6 +52,9 @@
 /// Limit on the bytes read without completing a request: the size of [`MAX_OPEN_REQUESTS`] requests of
 /// maximum length. The connection of a peer that sends more is closed.
 const MAX_BYTES_WITHOUT_REQUEST: usize = MAX_OPEN_REQUESTS * (MAX_PARAMS_BYTES + MAX_BODY_BYTES);
+/// Limit on the bytes read after the time limit without completing a request: the rest of one, and the
+/// headers of its records.
+const MAX_OVERDUE_BYTES: usize = 2 * (MAX_PARAMS_BYTES + MAX_BODY_BYTES);
 /// Memory charged for an open request in addition to its parameters and body: its fields, and later its
 /// result.
 const REQUEST_OVERHEAD_BYTES: usize = 6 * 1024;
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -5,7 +5,7 @@
 use slog::{debug, warn};
 use umberloom::interface::Micros;
 
-use super::{Connection, OpenRequest, MAX_BYTES_WITHOUT_REQUEST, REQUEST_TIMEOUT};
+use super::{Connection, OpenRequest, MAX_BYTES_WITHOUT_REQUEST, MAX_OVERDUE_BYTES, REQUEST_TIMEOUT};
 use crate::wire::responder::{DroppedContent, Incoming};
 use crate::wire::MalformedInput;
 
@@ -101,7 +101,12 @@
     /// What is read after the time limit may have arrived before it, if the process stood still meanwhile.
     fn limit_useless_bytes(&mut self, bytes: usize) {
         self.overdue_bytes = if self.is_request_overdue() { self.overdue_bytes + bytes } else { 0 };
-        if self.bytes_without_request.max(self.overdue_bytes) > MAX_BYTES_WITHOUT_REQUEST {
+        // A connection whose requests are all rejected may have sent all that a peer may have open.
+        let max_overdue_bytes =
+            if self.reject_until.is_some() { MAX_BYTES_WITHOUT_REQUEST } else { MAX_OVERDUE_BYTES };
+        if self.overdue_bytes > max_overdue_bytes {
+            self.stop_reading(InputEnd::RequestOverdue);
+        } else if self.bytes_without_request > MAX_BYTES_WITHOUT_REQUEST {
             self.stop_reading(InputEnd::TooManyBytes);
         }
     }
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -430,3 +430,25 @@
         assert!(!received.is_empty() && is_orderly);
     });
 }
+
+/// Guards against the loss of requests on a connection without any place: all that it has sent by then are
+/// rejected, also those beyond what is read at once.
+#[test]
+fn all_requests_on_a_connection_without_any_place_are_rejected_before_the_close() {
+    with_listener(ConnectionTable::new(3, &[1]), 60_000_000, |server| async move {
+        let _busy = [server.busy_client().await, server.busy_client().await];
+        let _in_overflow = server.connect().await;
+        let client = std::net::TcpStream::connect(server.address).expect("connected");
+        let mut client = Async::new(client).expect("registered");
+        let mut further_params = Vec::new();
+        fastcgi::write_pair(&mut further_params, b"HTTP_X_NOTE", &[b'x'; 1_500]);
+        write_now(&client, &health_check_bytes_with(&further_params).repeat(4));
+        let (mut received, is_orderly) = read_to_end(&mut client).await;
+        let mut rejected = 0;
+        while let Some(record) = fastcgi::parse_record(&received).expect("valid") {
+            rejected += usize::from(record.kind == fastcgi::kind::END_REQUEST);
+            received.drain(..record.size);
+        }
+        assert_eq!((rejected, is_orderly), (4, true));
+    });
+}
