--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -425,23 +425,28 @@
 // ---------------------------------------------------------------- the render farm agent
 
 pub enum AgentInput {
-    Link(TcpStream),
+    Link(u64, TcpStream),
     Line(u64, String),
 }
 
 /// Accepts links of the server and passes on their lines, with the number of the link.
 pub fn agent_listener() -> (SocketAddr, Receiver<AgentInput>, Sender<AgentInput>) {
+    let (sender, receiver) = channel();
+    (listen_for_links(&sender), receiver, sender)
+}
+
+/// Accepts links at one more address.
+pub fn listen_for_links(sender: &Sender<AgentInput>) -> SocketAddr {
+    static LINKS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().unwrap();
-    let (sender, receiver) = channel();
-    let own = sender.clone();
+    let sender = sender.clone();
     thread::spawn(move || {
-        let mut number = 0;
         for stream in listener.incoming().map_while(Result::ok) {
-            number += 1;
+            let number = LINKS.fetch_add(1, std::sync::atomic::Ordering::SeqCst) + 1;
             let _ = stream.set_nodelay(true);
             let Ok(copy) = stream.try_clone() else { continue };
-            if sender.send(AgentInput::Link(stream)).is_err() {
+            if sender.send(AgentInput::Link(number, stream)).is_err() {
                 return;
             }
             let sender = sender.clone();
@@ -454,7 +459,7 @@
             });
         }
     });
-    (address, receiver, own)
+    address
 }
 
 /// What a run does next.
@@ -498,6 +503,8 @@
 pub struct Agent {
     pub record: Record,
     input: Receiver<AgentInput>,
+    /// For further addresses, by [`listen_for_links`].
+    pub sender: Sender<AgentInput>,
     link: Option<TcpStream>,
     link_number: u64,
     subscribed: bool,
@@ -512,19 +519,23 @@
     pub delivered: Vec<Delivered>,
     /// How often each request was launched.
     pub launches: HashMap<String, u32>,
+    pub first_launch: HashMap<String, Instant>,
     pub breaks: u32,
     pub break_every: Option<Duration>,
     pub call_body: fn(&str, u32) -> Vec<u8>,
     /// Runs at work that take up the cores: most of a run's time may be waits for disk.
     pub room: f64,
+    /// A run that is stopped loses its work (`drop`) instead of being paused.
+    pub drops: bool,
 }
 
 impl Agent {
     pub fn new(record: &Record, plans: &[(&str, Plan)], seed: u64) -> (SocketAddr, Agent) {
-        let (address, input, _) = agent_listener();
+        let (address, input, sender) = agent_listener();
         let agent = Agent {
             record: record.clone(),
             input,
+            sender,
             link: None,
             link_number: 0,
             subscribed: false,
@@ -537,10 +548,12 @@
             over: Arc::default(),
             delivered: Vec::new(),
             launches: HashMap::new(),
+            first_launch: HashMap::new(),
             breaks: 0,
             break_every: None,
             call_body: |id, call| format!("call {call} of {id}").into_bytes(),
             room: 6.0,
+            drops: false,
         };
         (address, agent)
     }
@@ -616,8 +629,12 @@
                 .min()
                 .unwrap();
             match self.input.recv_timeout(next_work.saturating_duration_since(now)) {
-                Ok(AgentInput::Link(stream)) => {
-                    self.link_number += 1;
+                Ok(AgentInput::Link(number, stream)) => {
+                    // A new link replaces the one before.
+                    if let Some(old) = self.link.take() {
+                        let _ = old.shutdown(Shutdown::Both);
+                    }
+                    self.link_number = number;
                     self.link = Some(stream);
                     self.subscribed = false;
                 }
@@ -676,6 +693,7 @@
                     return;
                 }
                 *self.launches.entry(id.clone()).or_default() += 1;
+                self.first_launch.entry(id.clone()).or_insert_with(Instant::now);
                 let work = self.work(&class);
                 let run = Run {
                     class,
@@ -715,6 +733,11 @@
                     }
                 }
             }
+            "freeze" if self.drops => {
+                if self.runs.remove(&id).is_some() {
+                    self.outcome(&id, "broken_off", &[]);
+                }
+            }
             "freeze" => {
                 if let Some(run) = self.runs.get_mut(&id) {
                     run.frozen = true;
