--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -eu
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-2"
-for name in deliver drain; do
+for name in deliver drain record; do
     rustc --edition 2021 -O -o "$root/target/review-2/$name" "$root/review/standins-2/$name.rs"
 done
