--- a/review/standins-2/stale.rs
+++ b/review/standins-2/stale.rs
@@ -208,7 +208,7 @@
     );
     dirs.record.line(&summary);
     println!("{summary}");
-    (written_new == DOCUMENTS && large > LARGE - 3).then_some(back)
+    (both.contains(&true) && large > LARGE - 3).then_some(back)
 }
 
 fn main() {
