Review case 6: documents put by four clients, so that the moment of the kill is met

The documents are now made beforehand and put by four clients, so that the copies that the others fetch lag behind and the second voter comes after the last document. The killed server comes back at once where another server leads, up to six plays fit in a run, and the record is waited for 20 s (30 before; the record's page promises 4.5 election times of 1 s).

--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -17,13 +17,15 @@
 const NAMES: [&str; 3] = ["n1", "n2", "n3"];
 /// Documents of 1 MiB, the most that one may have.
 const DOCUMENTS: usize = 24;
-/// How long the killed server is away.
+/// Clients that put them at the same time, so that the copies which the others fetch lag behind and these vote late.
+const PUTTERS: usize = 4;
+/// How long the killed server is away, at most: it comes back sooner if another server leads.
 const AWAY: Duration = Duration::from_secs(4);
-/// How long the record may take to have a leader again once all are back: thirty of its election times.
-const PATIENCE: Duration = Duration::from_secs(30);
+/// How long the record may take to have a leader again once all are back: twenty of its election times.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Plays in one run, and the last moment at which one begins.
-const PLAYS: usize = 3;
-const MAX_START: Duration = Duration::from_secs(40);
+const PLAYS: usize = 6;
+const MAX_START: Duration = Duration::from_secs(60);
 
 fn configure(dirs: &CaseDirs, index: usize, fleet: &[SocketAddr], listen: SocketAddr, agent: SocketAddr, announce: SocketAddr) -> (PathBuf, PathBuf) {
     let name = NAMES[index];
@@ -96,6 +98,14 @@
     // run-case.sh ends what is left by the list in the case's own folder.
     std::os::unix::fs::symlink(all.temp.join("pids"), dirs.temp.join("pids")).ok()?;
     let stop: Arc<AtomicBool> = Arc::default();
+    let document = |number: usize| -> PathBuf {
+        let mut rng = Rng(0x1234_5678_9abc_def1 + number as u64);
+        let bytes: Vec<u8> = (0..1 << 20).map(|_| b'a' + (rng.next() >> 20) as u8 % 26).collect();
+        let path = dirs.temp.join(format!("doc{number}"));
+        std::fs::write(&path, bytes).expect("document");
+        path
+    };
+    let paths: Vec<PathBuf> = (0..DOCUMENTS).map(document).collect();
     let announce = announce_service(&dirs.record);
     let fleet: Vec<SocketAddr> = NAMES.iter().map(|_| free_address()).collect();
     let mut servers = Vec::new();
@@ -120,13 +130,6 @@
         file: dirs.temp.join("n1.kdl"),
         fleet: fleet.clone(),
     };
-    let document = |number: usize| -> PathBuf {
-        let mut rng = Rng(0x1234_5678_9abc_def1 + number as u64);
-        let bytes: Vec<u8> = (0..1 << 20).map(|_| b'a' + (rng.next() >> 20) as u8 % 26).collect();
-        let path = dirs.temp.join(format!("doc{number}"));
-        std::fs::write(&path, bytes).expect("document");
-        path
-    };
     // The record is founded once all three are there.
     let small = dirs.temp.join("small");
     std::fs::write(&small, b"forty").expect("document");
@@ -140,14 +143,23 @@
         thread::sleep(Duration::from_millis(200));
     }
     dirs.record.line("operator: put limits: written");
-    for number in 0..DOCUMENTS {
-        let path = document(number);
-        if !operator.put(0, &format!("doc{number}"), &path) {
-            println!("a document was not written before the disruption");
-            stop.store(true, Ordering::Relaxed);
-            return None;
-        }
-        dirs.record.line(&format!("operator: put doc{number}: written"));
+    // Put by several clients at once.
+    let put_all = |client: usize| {
+        (client..DOCUMENTS).step_by(PUTTERS).all(|number| {
+            let written = operator.put(0, &format!("doc{number}"), &paths[number]);
+            dirs.record.line(&format!("operator: put doc{number}: {}", if written { "written" } else { "not written" }));
+            written
+        })
+    };
+    let put_all = &put_all;
+    let all_written = thread::scope(|scope| {
+        let clients: Vec<_> = (0..PUTTERS).map(|client| scope.spawn(move || put_all(client))).collect();
+        clients.into_iter().map(|client| client.join().unwrap_or(false)).collect::<Vec<_>>().into_iter().all(|written| written)
+    });
+    if !all_written {
+        println!("a document was not written before the disruption");
+        stop.store(true, Ordering::Relaxed);
+        return None;
     }
     // Wait until the second server is a voter by its own word, in its log.
     let voter_by = Instant::now() + Duration::from_secs(30);
@@ -170,7 +182,16 @@
         dirs.record.line("SIGKILL to n1, which leads");
         drop(servers.remove(0));
         dirs.record.line(&format!("{} had become a voter", NAMES[second]));
-        thread::sleep(AWAY);
+        let back_at = Instant::now() + AWAY;
+        let other_leads = || {
+            [1, 2].into_iter().any(|index| {
+                let log = std::fs::read_to_string(dirs.temp.join(format!("{}.log", NAMES[index]))).unwrap_or_default();
+                log.lines().any(|line| line.contains("store leader changed, name: n") && !line.contains("name: n1,") && !line.contains("nobody"))
+            })
+        };
+        while Instant::now() < back_at && !other_leads() {
+            thread::sleep(Duration::from_millis(20));
+        }
         let (listen, config, extra) = &starts[0];
         servers.insert(0, Server::start(&dirs, "n1", *listen, config, extra));
     }
@@ -238,7 +259,7 @@
     let dirs = case_dirs();
     let start = Instant::now();
     let (mut held, mut broken) = (0, 0);
-    // The third server may have become a voter before the kill, and then all goes well: up to three plays.
+    // The third server may have become a voter before the kill, and then all goes well: up to six plays.
     for number in 0..PLAYS {
         if broken > 0 || start.elapsed() > MAX_START {
             break;
