Let keyed retries after the drain grace wait for their first attempt's answer

What callers saw: while a server drained, retries of keyed requests that had run there were rejected with 503, "never ran", from the drain grace on.

Cause: handle_arrival looked at the drain grace before it looked for another attempt with the key, so a duplicate, which never runs, was rejected like a request that must not run any more.

Change: Idempotency::may_reject is the one rule on which attempts may be rejected; the controller asks it for arrivals after the grace and for requests that are given up on. A keyed duplicate waits for the known answer in every phase and is failed, not rejected, if that does not come before the stop.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -167,13 +167,16 @@
         }
         self.health.saw_arrival = true;
         let sequence = self.requests.enqueue(self.new_request(now, &arrival, &class, age));
-        // A request that reached the machine after the drain grace must not run, so it is rejected at once.
+        // Only one attempt with an idempotency key may run: all others wait for its answer.
+        let is_duplicate = arrival.duplicate_of.is_some() && class.idempotency != Idempotency::NotIdempotent;
+        // A request that reached the machine after the drain grace must not run, so it is rejected at once unless
+        // another attempt may have run.
         let grace = self.settings.drain_grace;
-        if self.drain_notified_at.is_some_and(|notified_at| received_at > notified_at + grace) {
+        let must_not_run =
+            self.drain_notified_at.is_some_and(|notified_at| received_at > notified_at + grace);
+        if must_not_run && class.idempotency.may_reject(is_duplicate) {
             self.abandon(now, sequence, out);
-        } else if arrival.duplicate_of.is_some() && class.idempotency != Idempotency::NotIdempotent {
-            // Only one attempt with an idempotency key may run: this one waits for the answer of the known
-            // one.
+        } else if is_duplicate {
             self.requests.wait_queue.pop();
             let request = self.requests.by_sequence.get_mut(&sequence);
             request.into_iter().for_each(|request| request.stage = Stage::AwaitingDuplicate);
--- a/src/admission/shedding.rs
+++ b/src/admission/shedding.rs
@@ -31,8 +31,9 @@
     pub(super) fn abandon(&mut self, now: Micros, sequence: u64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.by_sequence.get(&sequence) else { return };
         // A running request that is idempotent may be rejected: a retry is safe even if the run here goes on.
-        let is_idempotent = self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
-        if request.stage == Stage::Queued || (is_idempotent && request.stage == Stage::Running) {
+        let may_be_rejected = matches!(request.stage, Stage::Queued | Stage::Running);
+        let may_have_run = request.stage != Stage::Queued;
+        if may_be_rejected && self.settings.classes[request.class].idempotency.may_reject(may_have_run) {
             let (retry_after, terminal) = self.rejection(now, request);
             let retry_age = (now.saturating_sub(request.received_at) + retry_after) as f64;
             self.health.retry_age = ewma(self.health.retry_age, retry_age);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -217,6 +217,8 @@
     answered: bool,
     /// Whether its run was started.
     ran: bool,
+    /// Whether another attempt with the same idempotency key came before it.
+    is_duplicate: bool,
     cancelled: bool,
     call_may_have_run: bool,
     started_at: Micros,
@@ -327,6 +329,7 @@
                     stage: Stage::Queued,
                     answered: false,
                     ran: false,
+                    is_duplicate: a.duplicate_of.is_some(),
                     cancelled: false,
                     call_may_have_run: false,
                     started_at: 0,
@@ -381,6 +384,10 @@
                 let is_idempotent =
                     self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
                 assert!(is_idempotent || !request.ran, "guarantee 2: {id} ran and is rejected");
+                assert!(
+                    is_idempotent || !request.is_duplicate,
+                    "guarantee 2: {id} is rejected though another attempt may have run"
+                );
                 self.rejected += 1;
                 self.record_answer(id);
             }
--- a/tests/generated_events.rs
+++ b/tests/generated_events.rs
@@ -88,7 +88,9 @@
 /// Runs the sequence of 1500 steps that this seed gives, with a drain after two thirds of it.
 fn run_sequence(seed: u64) -> Host {
     let mut random = Random(seed * 0x9e37_79b9 + 1);
-    let settings = random_settings(&mut random);
+    let mut settings = random_settings(&mut random);
+    // In every second sequence requests still arrive after the drain grace.
+    settings.drain_grace = if seed.is_multiple_of(2) { 500 * MS } else { settings.drain_grace };
     let mut host = Host::new(settings);
     let (max_arrivals, max_completions) = (random.below(5), 1 + random.below(4));
     let hangs_for_a_while = random.chance(20);
--- a/tests/guarantees.rs
+++ b/tests/guarantees.rs
@@ -131,6 +131,32 @@
     assert_eq!(failed(&later), ["a", "b"], "both are answered");
 }
 
+/// Guards against a retry that is rejected while draining although its first attempt has run: its caller then
+/// had the request run a second time at another server.
+#[test]
+fn a_keyed_retry_after_the_drain_grace_waits_for_the_answer_of_its_first_attempt() {
+    let settings = settings_with_classes(|c| {
+        c.idempotency = Idempotency::WithKey;
+        c.latency_objective = c.deadline;
+    });
+    let mut controller = AdmissionController::new(0, settings).expect("valid settings");
+    assert_eq!(admitted(&send(&mut controller, 0, &[("a", 0)])), ["a"]);
+    step(&mut controller, 10 * MS, vec![Event::Drain { time_left: 4 * SEC, notified_ago: 0 }]);
+    let retry = Arrival { duplicate_of: Some(id("a")), ..arrival("b", 0, 6 * SEC) };
+    let first = arrival("c", 0, 6 * SEC);
+    let actions = step(&mut controller, 2_600 * MS, vec![Event::Arrived(retry), Event::Arrived(first)]);
+    assert!(actions.contains(&Action::AwaitDuplicate(id("b"))), "{actions:?}");
+    assert_eq!(rejected(&actions), ["c"], "a first attempt after the drain grace is rejected");
+    let until_stop: Vec<Action> =
+        step_until(&mut controller, 2_620 * MS, 4 * SEC).into_iter().map(|(_, a)| a).collect();
+    assert_eq!((admitted(&until_stop), rejected(&until_stop)), (vec![], vec![]));
+    assert_eq!(
+        failed(&until_stop).len(),
+        2,
+        "what is not answered is failed before the stop: {until_stop:?}"
+    );
+}
+
 #[test]
 fn the_key_of_a_request_rejected_before_its_run_is_released() {
     let mut settings = settings_with_classes(|c| c.idempotency = Idempotency::WithKey);
