Answer refused retries of keyed requests from the idempotency cache

A connection answered OVERLOADED by itself in the last 0.35 s before the stop, beyond the table's capacity, without any place in it, and without memory for the request, whether the request had run or not. The caller then has it run a second time elsewhere.

Cause: only admission knew the idempotency keys, and these requests can't be passed to it, as its response might not be written before the process exits or the connection closes.

Change: connections read the cache, which admission alone changes, through KnownAttempts, and ask Idempotency::may_reject like the controller. A retry of a known key gets the known result or fails; everything else is rejected as before. A request whose parameters were not kept for lack of memory fails while a keyed request is known, as it may be a retry.

--- a/crates/server/src/admission/arrivals.rs
+++ b/crates/server/src/admission/arrivals.rs
@@ -69,10 +69,8 @@
             return Ok(());
         }
         let Some(key) = request.work.idempotency_key.take() else { return Err(Response::BadRequest) };
-        // Keys are separate for each tenant, as a tenant must not get another's result.
-        let has_tenants = !self.settings.tenants.is_empty();
-        let key = if has_tenants { format!("{}/{key}", request.tenant) } else { key };
-        request.work.dedup_key = Some(key);
+        let tenant = (!self.settings.tenants.is_empty()).then_some(request.tenant);
+        request.work.dedup_key = Some(DedupKey::of_idempotency_key(request.class, tenant, &key).key);
         Ok(())
     }
 
@@ -112,14 +110,14 @@
         // A key's expiry is compared with the duplicate's arrival at the machine, however late the duplicate
         // is read. While the original is in flight no duplicate may run, even if the key has expired.
         let arrived_at = now.saturating_sub(read_delay);
-        let cached = self.idempotency_cache.get(&dedup_key).cloned();
+        let cached = self.idempotency_cache.borrow().get(&dedup_key).cloned();
         let cached = cached
             .filter(|original| original.expires_at > arrived_at || self.requests.contains(&original.id));
         let Some(class) = self.class_with_keys(request.class) else {
             return Ok(KeyLookup { duplicate_of: cached.map(|original| original.id), reservation: None });
         };
         let expires_at = now + class.idempotency_window;
-        let body_digest = self.idempotency_cache.digest(&request.body);
+        let body_digest = self.idempotency_cache.borrow().digest(&request.body);
         match cached {
             // A different request under a key in use is no duplicate: it must neither run nor get the
             // original's result.
@@ -184,7 +182,7 @@
                 expires_at: reservation.expires_at,
                 evictable: false,
             };
-            self.idempotency_cache.insert(reservation.dedup_key, cached);
+            self.idempotency_cache.borrow_mut().insert(reservation.dedup_key, cached);
         }
         self.events.push(Event::Arrived(arrival));
     }
@@ -210,11 +208,11 @@
     pub(super) fn retain_key(&mut self, now: Micros, id: &RequestId, expires_at: Micros) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(dedup_key) = request.dedup_key() else { return };
-        let body_digest = self.idempotency_cache.digest(&request.body);
+        let body_digest = self.idempotency_cache.borrow().digest(&request.body);
         let evictable = self.class_with_keys(dedup_key.class).is_none();
         if self.make_room_for_key(now) {
             let cached = CachedRequest { id: id.clone(), body_digest, expires_at, evictable };
-            self.idempotency_cache.insert(dedup_key, cached);
+            self.idempotency_cache.borrow_mut().insert(dedup_key, cached);
         }
     }
 
@@ -223,7 +221,7 @@
         let Some(dedup_key) = self.requests.get_mut(id).and_then(|request| request.dedup_key()) else {
             return;
         };
-        self.idempotency_cache.release(&dedup_key, id);
+        self.idempotency_cache.borrow_mut().release(&dedup_key, id);
     }
 
     /// Drops keys that expired at least the longest class deadline ago. A duplicate that reached the machine
@@ -231,11 +229,13 @@
     pub(super) fn expire_keys(&mut self, now: Micros) {
         let longest_deadline = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let requests = &self.requests;
-        self.idempotency_cache.expire(now.saturating_sub(longest_deadline), |id| requests.contains(id));
+        self.idempotency_cache
+            .borrow_mut()
+            .expire(now.saturating_sub(longest_deadline), |id| requests.contains(id));
     }
 
     fn make_room_for_key(&mut self, now: Micros) -> bool {
         let requests = &self.requests;
-        self.idempotency_cache.make_room(now, |id| requests.contains(id))
+        self.idempotency_cache.borrow_mut().make_room(now, |id| requests.contains(id))
     }
 }
--- a/crates/server/src/admission/mod.rs
+++ b/crates/server/src/admission/mod.rs
@@ -23,7 +23,9 @@
 mod mailboxes;
 mod responses;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -62,6 +64,8 @@
     pub gauge_names: GaugeNames,
     /// Downstream calls of runs whose class has a call plan; `None` without an operator's file.
     pub dependency_calls: Option<DependencyCalls>,
+    /// Idempotency keys with their results. Only this actor changes them; connections read them.
+    pub idempotency_cache: Rc<RefCell<IdempotencyCache>>,
     /// Receiving end of this actor's mailbox.
     pub inbox: Receiver<AdmissionMessage>,
     /// The mailboxes of the other actors.
@@ -85,7 +89,7 @@
     clock: Clock,
     log: Logger,
     requests: RequestTable,
-    idempotency_cache: IdempotencyCache,
+    idempotency_cache: Rc<RefCell<IdempotencyCache>>,
     /// Events for the next step.
     events: Vec<Event>,
     /// Events for the step after the current one.
@@ -120,7 +124,7 @@
             clock: parts.clock,
             log: parts.log,
             requests: RequestTable::default(),
-            idempotency_cache: IdempotencyCache::default(),
+            idempotency_cache: parts.idempotency_cache,
             events: Vec::new(),
             deferred_events: VecDeque::new(),
             wake_at: None,
--- a/crates/server/src/admission/responses.rs
+++ b/crates/server/src/admission/responses.rs
@@ -26,7 +26,7 @@
     /// Responds with a result to a request and to the duplicates that wait for it.
     pub(super) fn respond_with_result(&mut self, id: &RequestId, result: Vec<u8>) {
         if let Some(dedup_key) = self.requests.get_mut(id).and_then(|request| request.dedup_key()) {
-            self.idempotency_cache.store_result(&dedup_key, id, &result);
+            self.idempotency_cache.borrow_mut().store_result(&dedup_key, id, &result);
         }
         for duplicate in self.requests.awaiting(id) {
             self.end_duplicate(&duplicate, Some(&result));
@@ -40,8 +40,9 @@
         let Some(original) = request.duplicate_of.clone() else { return };
         let dedup_key = request.dedup_key();
         self.requests.await_original(id);
-        let result = dedup_key.and_then(|key| self.idempotency_cache.result(&key, &original));
-        let result = result.map(<[u8]>::to_vec);
+        let cache = self.idempotency_cache.borrow();
+        let result = dedup_key.and_then(|key| cache.result(&key, &original)).map(<[u8]>::to_vec);
+        drop(cache);
         if result.is_some() || !self.requests.contains(&original) {
             self.end_duplicate(id, result.as_deref());
         }
--- a/crates/server/src/admission/tests/mod.rs
+++ b/crates/server/src/admission/tests/mod.rs
@@ -73,6 +73,7 @@
         shape: Shape { passes_deadline: true, marks_retry: false },
         gauge_names: GaugeNames::default(),
         dependency_calls: None,
+        idempotency_cache: Rc::default(),
         inbox: async_channel::bounded(1).1,
         mailboxes: Mailboxes {
             agent: agent_mailbox,
--- a/crates/server/src/lifecycle/startup.rs
+++ b/crates/server/src/lifecycle/startup.rs
@@ -1,5 +1,6 @@
 //! Starts the server: binds its sockets, starts its actors and connects their mailboxes.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -22,6 +23,8 @@
 use crate::admission::{self, AdmissionActor, AdmissionParts, Mailboxes};
 use crate::dependency_calls::DependencyCalls;
 use crate::memory::budget::Budget;
+use crate::memory::idempotency_cache::IdempotencyCache;
+use crate::memory::known_attempts::KnownAttempts;
 use crate::messages::agent::AgentActorMessage;
 use crate::messages::caller::LoadHint;
 use crate::messages::calls::{DependencyCommand, DependencySettings};
@@ -151,7 +154,14 @@
         starter.start_agent(inboxes.agent, agent_link.clone());
         starter.start_registration(inboxes.registration);
         starter.start_records_client(inboxes.records, &call_sockets);
-        let context = starter.connection_context(&mailboxes.load_hint, descriptors.connections, &budget);
+        let idempotency_cache = Rc::new(RefCell::new(IdempotencyCache::default()));
+        let known_attempts = KnownAttempts::new(&config.settings, idempotency_cache.clone());
+        let context = starter.connection_context(
+            &mailboxes.load_hint,
+            descriptors.connections,
+            &budget,
+            known_attempts,
+        );
         let open_connections = context.open_connections.clone();
         let connections = starter.start_listener(sockets.balancers, context, inboxes.listener);
         let mut server = Server {
@@ -171,7 +181,7 @@
             log: log.clone(),
         };
         let dependencies = operator.map(|operator| server.connect_dependencies(operator)).transpose()?;
-        server.start_admission(inboxes.admission, mailboxes, dependencies);
+        server.start_admission(inboxes.admission, mailboxes, idempotency_cache, dependencies);
         Ok(server)
     }
 
@@ -179,6 +189,7 @@
         &self,
         inbox: Receiver<AdmissionMessage>,
         mailboxes: Mailboxes,
+        idempotency_cache: Rc<RefCell<IdempotencyCache>>,
         dependencies: Option<DependencySettings>,
     ) {
         let seed = self.config.settings.seed;
@@ -191,6 +202,7 @@
             shape: self.config.shape,
             gauge_names: self.config.gauges.clone(),
             dependency_calls,
+            idempotency_cache,
             inbox,
             mailboxes,
             clock: self.clock.clone(),
@@ -279,6 +291,7 @@
         load_hint: &LoadHint,
         max_connections: usize,
         budget: &Budget,
+        known_attempts: KnownAttempts,
     ) -> ConnectionContext {
         ConnectionContext {
             admission: self.senders.admission.clone(),
@@ -290,6 +303,7 @@
             open_connections: OpenConnections::default(),
             last_serial: Rc::default(),
             budget: budget.clone(),
+            known_attempts,
             clock: self.clock.clone(),
             input_end_throttle: Rc::default(),
             out_of_memory_throttle: Rc::default(),
--- a/crates/server/src/memory/idempotency_cache.rs
+++ b/crates/server/src/memory/idempotency_cache.rs
@@ -21,6 +21,15 @@
     pub key: String,
 }
 
+impl DedupKey {
+    /// The key of a request with an idempotency key. Keys are separate for each tenant, as a tenant must not get
+    /// another's result; `tenant` is `None` if no tenants are configured.
+    pub fn of_idempotency_key(class: usize, tenant: Option<usize>, key: &str) -> DedupKey {
+        let key = tenant.map_or_else(|| key.to_owned(), |tenant| format!("{tenant}/{key}"));
+        DedupKey { class, key }
+    }
+}
+
 /// Digest of a request body: its length and a hash. The hash is seeded with a random key for each cache, so
 /// that callers can't construct collisions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +142,17 @@
         entry.result.as_deref()
     }
 
+    /// The stored result of the request whose entry has this key, if it has one.
+    pub fn stored_result(&self, dedup_key: &DedupKey) -> Option<&[u8]> {
+        self.entries.get(dedup_key)?.result.as_deref()
+    }
+
+    /// Whether there is an entry of this class.
+    pub fn has_entry_of_class(&self, class: usize) -> bool {
+        let first_key = DedupKey { class, key: String::new() };
+        self.entries.range(first_key..).next().is_some_and(|(dedup_key, _)| dedup_key.class == class)
+    }
+
     /// Drops the entries that have expired by `now`, except those whose request `is_in_flight`.
     pub fn expire(&mut self, now: Micros, is_in_flight: impl Fn(&str) -> bool) {
         let is_expired = |request: &CachedRequest| request.expires_at <= now && !is_in_flight(&request.id);
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod budget;
 pub mod idempotency_cache;
+pub mod known_attempts;
 pub mod request_table;
--- a/crates/server/src/peers/connection.rs
+++ b/crates/server/src/peers/connection.rs
@@ -28,6 +28,7 @@
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::log_throttle::LogThrottle;
 use crate::memory::budget::{Budget, ConnectionMemory};
+use crate::memory::known_attempts::KnownAttempts;
 use crate::messages::caller::{ConnectionActivity, ConnectionCommand, LoadHint};
 use crate::messages::diagnostics::{ConnectionRegistration, OpenConnections};
 use crate::messages::AdmissionMessage;
@@ -80,6 +81,8 @@
     pub last_serial: Rc<Cell<u64>>,
     /// Limits the memory that peers can make this process use.
     pub budget: Budget,
+    /// Tells which requests must not be rejected, as another attempt of them may have run.
+    pub known_attempts: KnownAttempts,
     /// Clock for timeouts and request times.
     pub clock: Clock,
     /// Limits the warnings about connections that are not read any further while requests are open on them.
--- a/crates/server/src/peers/connection/request.rs
+++ b/crates/server/src/peers/connection/request.rs
@@ -6,6 +6,7 @@
 use umberloom::interface::RequestId;
 
 use super::{Connection, ConnectionContext, OpenRequest, REQUEST_OVERHEAD_BYTES};
+use crate::memory::known_attempts::RefusedAttempt;
 use crate::messages::caller::{HealthCheck, ReplyTo, Request, Response, WorkRequest};
 use crate::messages::AdmissionMessage;
 use crate::wire::cgi::{self, CgiRequest};
@@ -55,17 +56,17 @@
         body: Vec<u8>,
         dropped: Option<DroppedContent>,
     ) -> Option<AdmissionMessage> {
-        // Requests read while draining are rejected here: a response that has to wait for admission might not
+        // Requests read while draining are answered here: a response that has to wait for admission might not
         // be written before the process exits.
         if self.reject_until.is_some() || self.activity.closing.get() {
-            self.reject_overloaded(slot);
+            self.refuse(slot, serial, params, &body, dropped);
             self.draining = true;
             return None;
         }
         let reply_to = ReplyTo::new(self.own_mailbox.clone(), slot, serial);
         if dropped == Some(DroppedContent::OutOfMemory) {
             self.log_out_of_memory();
-            self.reject_overloaded(slot);
+            self.refuse_unidentified(slot, serial);
             return None;
         }
         let too_long = dropped == Some(DroppedContent::TooLong);
@@ -83,7 +84,7 @@
         let bytes = params.len() + body.len() + REQUEST_OVERHEAD_BYTES;
         let Some(charge) = self.context.budget.charge(bytes) else {
             self.log_out_of_memory();
-            self.reject_overloaded(slot);
+            self.refuse_work(slot, serial, &work, &body);
             return None;
         };
         let id: RequestId = work.request.id.as_str().into();
@@ -108,6 +109,57 @@
             "available_bytes" => self.context.budget.available());
     }
 
+    /// Answers a request that can't be passed to admission.
+    fn refuse(
+        &mut self,
+        slot: u16,
+        serial: u64,
+        params: &[u8],
+        body: &[u8],
+        dropped: Option<DroppedContent>,
+    ) {
+        if dropped == Some(DroppedContent::OutOfMemory) {
+            return self.refuse_unidentified(slot, serial);
+        }
+        let too_long = dropped == Some(DroppedContent::TooLong);
+        match validate(params, too_long, &self.context) {
+            Ok(ValidRequest::Work(work)) => self.refuse_work(slot, serial, &work, body),
+            // These never run.
+            Ok(ValidRequest::HealthCheck { .. }) | Err(_) => self.reject_overloaded(slot),
+        }
+    }
+
+    /// Rejects a request, unless another attempt of it may have run.
+    fn refuse_work(&mut self, slot: u16, serial: u64, work: &ValidWork, body: &[u8]) {
+        let clock = &self.context.clock;
+        let read_delay = clock.unix().saturating_sub(work.request.received_at);
+        let attempt = RefusedAttempt {
+            class: work.class,
+            tenant: work.tenant,
+            idempotency_key: work.request.idempotency_key.as_deref(),
+            body,
+            arrived_at: clock.now().saturating_sub(read_delay),
+        };
+        match self.context.known_attempts.response_to(&attempt) {
+            None => self.reject_overloaded(slot),
+            // A peer that does not read its responses must not make them pile up.
+            Some(Response::Served(_)) if !self.memory.may_read(self.unwritten_bytes()) => {
+                self.respond(slot, serial, &Response::Failed);
+            }
+            Some(response) => self.respond(slot, serial, &response),
+        }
+    }
+
+    /// Rejects a request whose parameters were not kept, unless it may be another attempt of one that may have
+    /// run.
+    fn refuse_unidentified(&mut self, slot: u16, serial: u64) {
+        if self.context.known_attempts.may_reject_unidentified() {
+            self.reject_overloaded(slot);
+        } else {
+            self.respond(slot, serial, &Response::Failed);
+        }
+    }
+
     fn reject_overloaded(&mut self, slot: u16) {
         self.open_requests.remove(&slot);
         self.responder.reject(slot, ProtocolStatus::Overloaded);
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -1,12 +1,17 @@
 //! Connects to a listener over loopback; the test itself stands in for admission.
 
+mod refused_retries;
+
 use std::cell::RefCell;
 use std::future::Future;
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
+use crate::lifecycle::config::Config;
 use crate::memory::budget::Budget;
+use crate::memory::idempotency_cache::IdempotencyCache;
+use crate::memory::known_attempts::KnownAttempts;
 use crate::messages::caller::{ReplyTo, Response};
 use crate::messages::diagnostics::OpenConnections;
 use crate::messages::AdmissionMessage;
@@ -27,6 +32,7 @@
     unanswered: Rc<RefCell<Vec<AdmissionMessage>>>,
     commands: Sender<ListenerCommand>,
     context: ConnectionContext,
+    idempotency_cache: Rc<RefCell<IdempotencyCache>>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -92,9 +98,13 @@
     let address = socket.get_ref().local_addr().expect("an address");
     let (admission, messages) = async_channel::bounded(64);
     let (commands, received) = async_channel::bounded(MAILBOX_CAPACITY);
+    // Its class `capture` has idempotency keys.
+    let config = include_bytes!("../../../../../deploy/example-keyed.json");
+    let config = Config::parse(config).expect("the example configuration is valid");
+    let idempotency_cache: Rc<RefCell<IdempotencyCache>> = Rc::default();
     let context = ConnectionContext {
         admission,
-        classes: Rc::new(vec![]),
+        classes: Rc::new(config.classes),
         tenants: Rc::new(vec![]),
         load_hint: Rc::default(),
         shape: Shape { passes_deadline: true, marks_retry: false },
@@ -102,6 +112,7 @@
         open_connections: OpenConnections::default(),
         last_serial: Rc::default(),
         budget: Budget::new(1 << 24, table.total_capacity()),
+        known_attempts: KnownAttempts::new(&config.settings, idempotency_cache.clone()),
         clock: Default::default(),
         input_end_throttle: Rc::default(),
         out_of_memory_throttle: Rc::default(),
@@ -115,6 +126,7 @@
         unanswered: Rc::default(),
         commands,
         context,
+        idempotency_cache,
         executor: executor.clone(),
     };
     async_io::block_on(executor.run(script(server)));
