--- a/crates/fault-harness/src/virtual_replicated_store.rs
+++ b/crates/fault-harness/src/virtual_replicated_store.rs
@@ -262,6 +262,11 @@
         Ok(())
     }
 
+    /// From now on each sync of a server's disk takes up to `max_sync` microseconds.
+    pub fn set_max_sync(&mut self, n: usize, max_sync: Micros) {
+        self.nodes[n].max_sync = max_sync;
+    }
+
     /// From now on a server's disk reports syncs as done without doing them.
     pub fn ignore_syncs(&mut self, n: usize) {
         self.nodes[n].disk.set_faults(Faults { ignore_syncs: true, ..Faults::default() });
--- a/crates/replicated-store/src/replica/mod.rs
+++ b/crates/replicated-store/src/replica/mod.rs
@@ -287,12 +287,14 @@
         self.process_ready(now);
     }
 
-    /// Runs the Raft ticks that are due, up to [`MAX_TICKS_PER_TIMEOUT`].
+    /// Runs the Raft ticks that are due, up to [`MAX_TICKS_PER_TIMEOUT`]. None is run while the replica must not
+    /// start an election.
     fn tick(&mut self, now: Micros) {
+        let may_tick = self.rollback_check.is_none() && !self.persistence.is_installing_snapshot();
         let interval = self.config.election_timeout / ELECTION_TICKS as Micros;
         let mut ticks = 0;
         while now >= self.next_tick_at && ticks < MAX_TICKS_PER_TIMEOUT {
-            if self.rollback_check.is_none() {
+            if may_tick {
                 self.with_raft(RawNode::tick);
             }
             self.next_tick_at += interval;
--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -27,6 +27,8 @@
     required_batch: u64,
     /// Messages that must not be sent before that.
     messages: Vec<Message>,
+    /// Index of the snapshot that this step installs, if it installs one.
+    snapshot_index: Option<u64>,
     /// End of the log after this step.
     position: LogPosition,
 }
@@ -49,6 +51,12 @@
         self.pending_steps.clear();
     }
 
+    /// Whether a snapshot is installed in memory and not durable yet. Until it is, the library can't be told that
+    /// the snapshot is applied, and would look for the entries before it if it started an election.
+    pub(super) fn is_installing_snapshot(&self) -> bool {
+        self.pending_steps.iter().any(|step| step.snapshot_index.is_some())
+    }
+
     fn next_durable_step(&mut self) -> Option<PendingStep> {
         let durable_batch = self.durable_batch;
         self.pending_steps.pop_front_if(|step| step.required_batch <= durable_batch)
@@ -126,6 +134,10 @@
         let Some(node) = &self.node else { return };
         let last_index = node.store().last_entry_index();
         let kind = message.get_msg_type();
+        if kind == MessageType::MsgTimeoutNow && self.persistence.is_installing_snapshot() {
+            // The leader asks this replica to start an election. It is as if the message were lost.
+            return;
+        }
         // A leader's heartbeat has a commit index only up to what the replica has acknowledged, so a replica
         // that lacks that entry was rolled back. The library would panic on the heartbeat.
         if kind == MessageType::MsgHeartbeat && message.commit > last_index {
@@ -204,7 +216,12 @@
     fn complete_durable_steps(&mut self) {
         while let Some(step) = self.persistence.next_durable_step() {
             self.persistence.durable = step.position;
-            self.with_raft(|node| node.on_persist_ready(step.ready_number));
+            self.with_raft(|node| {
+                node.on_persist_ready(step.ready_number);
+                if let Some(index) = step.snapshot_index {
+                    node.advance_apply_to(index);
+                }
+            });
             self.send_raft(step.messages);
         }
     }
@@ -231,8 +248,10 @@
     fn handle_ready(&mut self, mut ready: Ready) -> bool {
         let messages = ready.take_messages();
         let mut batch = WriteBatch::new();
+        let mut snapshot_index = None;
         if !ready.snapshot().is_empty() {
             let metadata = ready.snapshot().get_metadata().clone();
+            snapshot_index = Some(metadata.index);
             let Some(installed) = self.install_snapshot(metadata) else { return false };
             batch = batch.then(installed);
         }
@@ -261,6 +280,7 @@
             ready_number,
             required_batch: self.persistence.last_batch,
             messages: persisted_messages,
+            snapshot_index,
             position,
         });
         self.apply_committed(committed);
--- a/crates/replicated-store/src/replica/status.rs
+++ b/crates/replicated-store/src/replica/status.rs
@@ -82,6 +82,14 @@
         /// Index of the last entry in the log.
         last_index: u64,
     },
+    /// The Raft library counts on another last applied entry than the state has.
+    #[error("applied entry {applied}, but the Raft library was told {told}")]
+    AppliedUntold {
+        /// Index of the last applied entry.
+        applied: u64,
+        /// Index of the last entry that the library was told to be applied.
+        told: u64,
+    },
     /// The replica leads although its rollback check has not finished.
     #[error("the replica leads before its rollback check has finished")]
     LeaderBeforeRollbackCheck,
@@ -171,6 +179,10 @@
             if applied > last_index {
                 return Err(InvariantViolation::AppliedBeyondLog { applied, last_index });
             }
+            let told = node.raft.raft_log.applied;
+            if applied != told && !self.persistence.is_installing_snapshot() {
+                return Err(InvariantViolation::AppliedUntold { applied, told });
+            }
             if self.rollback_check.is_some() && self.role == Role::Leader {
                 return Err(InvariantViolation::LeaderBeforeRollbackCheck);
             }
--- a/crates/replicated-store/tests/virtual_fleet.rs
+++ b/crates/replicated-store/tests/virtual_fleet.rs
@@ -1,6 +1,9 @@
 //! Simulated fleets with replicated stores on virtual time, with network and disks driven by a seed. Under
 //! faults no acknowledged write is lost and no read is stale, and after the faults all replicas are the same.
 
+mod common;
+
+use common::{any_follower, settled_fleet, short_timeouts, SECOND};
 use proptest::prelude::*;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
@@ -8,38 +11,11 @@
 use umberloom_fault_harness::virtual_replicated_store::VirtualReplicatedStore;
 use umberloom_replicated_store::{Config, Entry, Event, Replica, Role};
 
-/// One second in microseconds.
-const SECOND: u64 = 1_000_000;
-
-/// Sets short timeouts, so that a run has many elections.
-fn short_timeouts(config: &mut Config) {
-    (config.election_timeout, config.replace_after) = (200_000, 2 * SECOND);
-}
-
 fn five_voters(config: &mut Config) {
     short_timeouts(config);
     config.voters = 5;
 }
 
-/// Runs a new fleet until all servers have joined and `voters` of them vote.
-fn settled_fleet(
-    servers: usize,
-    voters: usize,
-    seed: u64,
-    adjust: fn(&mut Config),
-) -> VirtualReplicatedStore {
-    let mut fleet = VirtualReplicatedStore::new(servers, seed, adjust);
-    fleet.run_until_condition(20 * SECOND, |fleet| fleet.is_converged(voters)).expect("settled");
-    fleet
-}
-
-/// Some server that is a voter and not the leader.
-fn any_follower(fleet: &VirtualReplicatedStore, servers: usize) -> usize {
-    let is_follower =
-        |server: &usize| fleet.replica(*server).is_some_and(|replica| replica.role() == Role::Voter);
-    (0..servers).find(is_follower).expect("a voter")
-}
-
 /// The version of a document as a server has it; `None` if the server is down or has no such document.
 fn version_at(fleet: &VirtualReplicatedStore, server: usize, name: &str) -> Option<u64> {
     fleet.replica(server).and_then(|replica| replica.state().get(name)).map(|document| document.version)
