Restart a replica whose Raft library panics, in place of quarantining its copy

Change: these end the replica with Action::Restart; the server starts it again from its disk after the pauses of a failed disk, as after a crash. Only a copy that is known to be wrong is quarantined. Requests meanwhile are told that the replica is being started again. Log lines: "raft library failed", "replica ended".

A test of the server's actor shows that only a wrong replica's file is moved.

--- a/crates/fault-harness/src/virtual_replicated_store.rs
+++ b/crates/fault-harness/src/virtual_replicated_store.rs
@@ -18,6 +18,8 @@
 
 /// One millisecond in microseconds.
 const MS: Micros = 1_000;
+/// Time until a server starts a replica again that has ended by itself.
+const RESTART_PAUSE: Micros = 250 * MS;
 
 /// A scheduled event. The first two numbers of `Timeout` and `Synced` are a server and its process.
 enum ScheduledEvent {
@@ -27,6 +29,8 @@
     Timeout(usize, u64),
     /// The disk of a server has synced the batch with this number, written by this process.
     Synced(usize, u64, u64),
+    /// A server starts its replica again, whose use this process has ended.
+    Restart(usize, u64),
 }
 
 /// One server.
@@ -41,6 +45,8 @@
     paused_until: Micros,
     /// Longest duration of a sync.
     max_sync: Micros,
+    /// The replica has ended by itself, and its server will start it again.
+    awaits_restart: bool,
 }
 
 /// An operation whose client waits for the result.
@@ -93,10 +99,38 @@
     pub bytes: u64,
     /// Every quarantined replica: the index of its server and the reason.
     pub quarantined: Vec<(usize, String)>,
+    /// Every replica that was started again from its disk by itself: the index of its server and the reason.
+    pub restarted: Vec<(usize, String)>,
     /// The first leader seen in each term of each store.
     leaders: BTreeMap<(StoreId, u64), usize>,
 }
 
+/// Why a store was not opened.
+enum OpenError {
+    /// Its file is damaged, or has an invalid replica, for this reason.
+    Unusable(String),
+    /// The disk failed.
+    DiskFailed,
+}
+
+/// Opens a store and reads the replica in it.
+fn open_store(
+    disk: &FaultInjectingDisk,
+    config: &StoreConfig,
+) -> Result<(Store, Option<StoredReplica>), OpenError> {
+    let store = Store::open(disk, config).map_err(|error| {
+        if error.is_damage() {
+            OpenError::Unusable(error.to_string())
+        } else {
+            OpenError::DiskFailed
+        }
+    })?;
+    let rows = KEYSPACES.map(|space| (space, store.range(space, &[], None, usize::MAX).unwrap_or_default()));
+    let stored =
+        StoredReplica::read(rows.to_vec()).map_err(|error| OpenError::Unusable(error.to_string()))?;
+    Ok((store, stored))
+}
+
 impl VirtualReplicatedStore {
     /// Starts `count` servers, each with an empty disk, configured by `adjust`.
     pub fn new(count: usize, seed: u64, adjust: fn(&mut Config)) -> VirtualReplicatedStore {
@@ -108,6 +142,7 @@
             store: None,
             paused_until: 0,
             max_sync: 2 * MS,
+            awaits_restart: false,
         };
         let mut store = VirtualReplicatedStore {
             now: 0,
@@ -127,6 +162,7 @@
             last_id: 1,
             bytes: 0,
             quarantined: Vec::new(),
+            restarted: Vec::new(),
             leaders: BTreeMap::new(),
         };
         (0..count).for_each(|n| store.start(n));
@@ -139,8 +175,8 @@
         self.scheduled.insert(self.last_number, event);
     }
 
-    /// Starts a process with the replica on its disk. A damaged store is quarantined and replaced by an empty
-    /// one.
+    /// Starts a process with the replica on its disk. A damaged store, or one with an invalid replica, is
+    /// quarantined and replaced by an empty one.
     pub fn start(&mut self, n: usize) {
         let others: Vec<&str> = self.names.iter().filter(|o| **o != self.names[n]).map(|o| &**o).collect();
         let mut config = Config::new(&self.names[n], &others);
@@ -149,20 +185,17 @@
         let (now, seed) = (self.now, self.random.random());
         let node = &mut self.nodes[n];
         node.process += 1;
-        node.store = None;
+        (node.store, node.awaits_restart) = (None, false);
         let store_config = StoreConfig { max_bytes: 64 << 20, ..StoreConfig::new("record") };
-        let mut store = Store::open(&node.disk, &store_config);
-        if store.as_ref().is_err_and(umberloom_store::StoreError::is_damage) {
-            self.quarantined.push((n, store.as_ref().map_or_else(ToString::to_string, |_| String::new())));
+        let mut opened = open_store(&node.disk, &store_config);
+        if let Err(OpenError::Unusable(reason)) = opened {
+            self.quarantined.push((n, reason));
             let _ = Store::quarantine(&node.disk, &store_config);
-            store = Store::open(&node.disk, &store_config);
+            opened = open_store(&node.disk, &store_config);
         }
-        let Ok(store) = store else { return };
-        let rows =
-            KEYSPACES.map(|space| (space, store.range(space, &[], None, usize::MAX).unwrap_or_default()));
-        let stored = StoredReplica::read(rows.to_vec());
+        let Ok((store, stored)) = opened else { return };
         node.store = Some(store);
-        node.replica = stored.ok().and_then(|stored| Replica::new(now, config, stored, seed).ok());
+        node.replica = Replica::new(now, config, stored, seed).ok();
         let process = node.process;
         self.schedule(now, ScheduledEvent::Timeout(n, process));
         self.execute_actions(n);
@@ -172,7 +205,7 @@
     /// synced.
     pub fn kill(&mut self, n: usize, power_loss: bool) {
         let node = &mut self.nodes[n];
-        (node.replica, node.store) = (None, None);
+        (node.replica, node.store, node.awaits_restart) = (None, None, false);
         if power_loss {
             node.disk.cut_power();
         }
@@ -240,13 +273,21 @@
             self.now = self.now.max(at);
             let n = match &event {
                 ScheduledEvent::Message { to, .. } => *to,
-                ScheduledEvent::Timeout(n, _) | ScheduledEvent::Synced(n, ..) => *n,
+                ScheduledEvent::Timeout(n, _)
+                | ScheduledEvent::Synced(n, ..)
+                | ScheduledEvent::Restart(n, _) => *n,
             };
             if self.nodes[n].paused_until > self.now {
                 let later = self.nodes[n].paused_until;
                 self.schedule(later, event);
                 continue;
             }
+            if let ScheduledEvent::Restart(_, process) = event {
+                if self.nodes[n].process == process && self.nodes[n].awaits_restart {
+                    self.start(n);
+                }
+                continue;
+            }
             self.step(n, event)?;
         }
         self.now = until;
@@ -262,6 +303,12 @@
         Ok(())
     }
 
+    /// Passes bytes to the replica of server `to` as a message from server `from`.
+    pub fn deliver(&mut self, from: usize, to: usize, bytes: Vec<u8>) -> Result<(), String> {
+        let process = self.nodes[from].process;
+        self.step(to, ScheduledEvent::Message { from, process, to, bytes })
+    }
+
     /// From now on each sync of a server's disk takes up to `max_sync` microseconds.
     pub fn set_max_sync(&mut self, n: usize, max_sync: Micros) {
         self.nodes[n].max_sync = max_sync;
@@ -318,7 +365,7 @@
         let (actions, events, reads) =
             (replica.take_actions(), replica.take_events(), replica.take_finished_reads());
         self.events.extend(events.into_iter().map(|event| (now, n, event)));
-        let mut quarantine_reason = None;
+        let (mut quarantine_reason, mut restart_reason) = (None, None);
         for action in actions {
             match action {
                 Action::Send { to, bytes, .. } => {
@@ -333,9 +380,17 @@
                 }
                 Action::Persist { number, batch } => self.persist(n, number, batch),
                 Action::Quarantine { reason } => quarantine_reason = Some(reason),
+                Action::Restart { reason } => restart_reason = Some(reason),
             }
         }
         self.finish_operations(n, &reads);
+        if let Some(reason) = restart_reason {
+            self.restarted.push((n, reason));
+            let node = &mut self.nodes[n];
+            (node.replica, node.store, node.awaits_restart) = (None, None, true);
+            let process = node.process;
+            self.schedule(now + RESTART_PAUSE, ScheduledEvent::Restart(n, process));
+        }
         if let Some(reason) = quarantine_reason {
             self.quarantined.push((n, reason));
             let node = &mut self.nodes[n];
--- a/crates/replicated-store/src/log/stored.rs
+++ b/crates/replicated-store/src/log/stored.rs
@@ -56,6 +56,32 @@
     /// The state of the snapshot cannot be decoded.
     #[error("the state of the snapshot cannot be decoded")]
     State,
+    /// The state is not the one that the snapshot's metadata describe.
+    #[error("the state after entry {applied}, but the snapshot ends at entry {snapshot}")]
+    OtherState {
+        /// Index of the last entry that the state includes.
+        applied: u64,
+        /// Index of the last entry that the snapshot includes by its metadata.
+        snapshot: u64,
+    },
+    /// Entries at the end are missing.
+    #[error("entry {commit} is committed, but the last one is {last}")]
+    MissingCommitted {
+        /// Index of the last entry that is known to be committed.
+        commit: u64,
+        /// Index of the last entry in the log.
+        last: u64,
+    },
+    /// The terms of the entries are not in order.
+    #[error("entry {index} is of term {term}, after an entry of term {previous}")]
+    TermsOutOfOrder {
+        /// Index of the entry.
+        index: u64,
+        /// Term of the entry.
+        term: u64,
+        /// Term of the entry or snapshot before it.
+        previous: u64,
+    },
 }
 
 impl StoredReplica {
@@ -81,9 +107,32 @@
             stored.manifest = Manifest::of(&state);
             stored.snapshot_bytes = state;
         }
+        stored.check_consistency()?;
         Ok(has_identity.then_some(stored))
     }
 
+    /// Checks what the Raft library relies on: state, snapshot, entries and hard state fit together.
+    fn check_consistency(&self) -> Result<(), StoredReplicaError> {
+        let applied = self.state.as_ref().map_or(0, |state| state.applied);
+        let snapshot = self.snapshot_metadata.index;
+        if applied != snapshot {
+            return Err(StoredReplicaError::OtherState { applied, snapshot });
+        }
+        let (commit, last) = (self.hard_state.commit, self.last_position().index);
+        if commit > last {
+            return Err(StoredReplicaError::MissingCommitted { commit, last });
+        }
+        let mut previous = self.snapshot_metadata.term;
+        for entry in &self.entries {
+            let (index, term) = (entry.index, entry.term);
+            if term < previous {
+                return Err(StoredReplicaError::TermsOutOfOrder { index, term, previous });
+            }
+            previous = term;
+        }
+        Ok(())
+    }
+
     /// Reads the identity and the Raft state. Returns whether the rows have an identity.
     fn read_identity(&mut self, rows: &[Row]) -> Result<bool, StoredReplicaError> {
         let mut has_identity = false;
--- a/crates/replicated-store/src/replica/actions.rs
+++ b/crates/replicated-store/src/replica/actions.rs
@@ -46,6 +46,12 @@
         /// The reason, for the log.
         reason: String,
     },
+    /// This process can't go on with the replica: start it again from its on-disk store, after a pause. Nothing
+    /// is known to be wrong with that store.
+    Restart {
+        /// The reason, for the log.
+        reason: String,
+    },
 }
 
 /// Appends to a queue that the host may not have drained for a long time; if it is full the oldest item is
@@ -81,13 +87,13 @@
         Ok(())
     }
 
-    /// Appends the request to quarantine the replica, after which it requests nothing more.
-    pub(super) fn push_quarantine(&mut self, reason: String) {
+    /// Appends an action that ends the use of this replica, which requests nothing more.
+    pub(super) fn push_last(&mut self, action: Action) {
         if self.make_room().is_err() {
-            // The replica will not be used again, so its last batch is not needed.
+            // What depends on the last batch still waits for it to be durable, so the batch is not needed.
             self.0.pop_back();
         }
-        self.0.push_back(Action::Quarantine { reason });
+        self.0.push_back(action);
     }
 
     /// Number of actions that the host has not taken.
--- a/crates/replicated-store/src/replica/actions/tests.rs
+++ b/crates/replicated-store/src/replica/actions/tests.rs
@@ -33,8 +33,8 @@
     assert_eq!(queue.push_batch(MAX_QUEUED as u64, WriteBatch::new()), Err(QueueFull));
     let (to, bytes, priority) = message();
     queue.push_message(to, bytes, priority);
-    queue.push_quarantine("full".to_owned());
+    queue.push_last(Action::Restart { reason: "full".to_owned() });
     let actions = queue.take();
     assert_eq!(actions.len(), MAX_QUEUED);
-    assert!(matches!(actions.last(), Some(Action::Quarantine { .. })));
+    assert!(matches!(actions.last(), Some(Action::Restart { .. })));
 }
--- a/crates/replicated-store/src/replica/events.rs
+++ b/crates/replicated-store/src/replica/events.rs
@@ -95,8 +95,8 @@
         /// Id of the other store.
         led_store: StoreId,
     },
-    /// The Raft library failed on this replica's log.
-    LogFailed {
+    /// The Raft library has panicked, and the replica starts again from its on-disk store.
+    LibraryFailed {
         /// Message of the library's panic.
         reason: String,
     },
--- a/crates/replicated-store/src/replica/mod.rs
+++ b/crates/replicated-store/src/replica/mod.rs
@@ -108,8 +108,8 @@
     next_status_at: Micros,
     /// The Raft library's current election timeout in ticks, drawn from `random`.
     election_ticks: usize,
-    /// Whether this replica must no longer be used.
-    quarantined: bool,
+    /// Whether this process has ended its use of the replica.
+    stopped: bool,
     /// Outcomes of entries that this process has applied, the latest last.
     outcomes: VecDeque<(EntryId, Outcome)>,
     actions: ActionQueue,
@@ -172,7 +172,7 @@
             next_tick_at: now,
             next_status_at: now,
             election_ticks: 0,
-            quarantined: false,
+            stopped: false,
             outcomes: VecDeque::new(),
             actions: ActionQueue::default(),
             events: VecDeque::new(),
@@ -219,7 +219,7 @@
     /// Handles a message from a member. `boot_id` identifies the sending process; later processes have higher
     /// ones.
     pub fn handle_message(&mut self, now: Micros, from: &MemberName, boot_id: u64, bytes: &[u8]) {
-        if self.quarantined {
+        if self.stopped {
             return;
         }
         match message::decode(bytes) {
@@ -274,7 +274,7 @@
     /// Runs everything that is due at `now`: the rollback check, Raft ticks, status messages and snapshot
     /// transfers.
     pub fn handle_timeout(&mut self, now: Micros) {
-        if self.quarantined {
+        if self.stopped {
             return;
         }
         self.check_rollback(now);
@@ -307,7 +307,7 @@
 
     /// Time at which [`Replica::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Micros {
-        if self.quarantined {
+        if self.stopped {
             return Micros::MAX;
         }
         self.next_tick_at.min(self.next_status_at)
--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -10,7 +10,9 @@
 use umberloom_membership::MemberName;
 use umberloom_store::{catch_panic, WriteBatch};
 
-use super::{push_bounded, Event, Priority, Replica, ELECTION_TICKS, HEARTBEAT_TICKS, MAX_MESSAGE_BYTES};
+use super::{
+    push_bounded, Action, Event, Priority, Replica, ELECTION_TICKS, HEARTBEAT_TICKS, MAX_MESSAGE_BYTES,
+};
 use crate::log::{Log, LogPosition};
 use crate::message::PeerMessage;
 use crate::rollback::DurableProgress;
@@ -82,30 +84,50 @@
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         match catch_panic(|| RawNode::new(&config, log, &logger)) {
             Ok(Ok(node)) => self.node = Some(node),
-            Ok(Err(error)) => self.quarantine(format!("the log is invalid: {error}")),
-            Err(reason) => self.quarantine(format!("the log is invalid: {reason}")),
+            Ok(Err(error)) => self.restart(format!("the Raft library did not start: {error}")),
+            Err(reason) => self.handle_library_panic(&reason),
         }
     }
 
-    /// Stops using this replica and asks the host to start again without it.
+    /// Stops using this replica and asks the host to start again without it. Only for a replica that is known
+    /// to be wrong, as its vote and its copy of acknowledged entries are lost.
     pub(super) fn quarantine(&mut self, reason: String) {
+        self.stop(Action::Quarantine { reason });
+    }
+
+    /// Stops using this replica and asks the host to start it again from its on-disk store, as after a crash.
+    pub(super) fn restart(&mut self, reason: String) {
+        self.stop(Action::Restart { reason });
+    }
+
+    fn stop(&mut self, action: Action) {
         self.node = None;
-        self.quarantined = true;
+        self.stopped = true;
         self.persistence.clear();
-        self.actions.push_quarantine(reason);
+        self.actions.push_last(action);
     }
 
-    /// Gives a write batch to the host to make durable.
+    /// Handles a panic of the library or of the code that it calls. It shows an error in a program and not in
+    /// the stored replica, which was checked when it was read.
+    fn handle_library_panic(&mut self, reason: &str) {
+        self.emit(Event::LibraryFailed { reason: reason.to_owned() });
+        self.restart(format!("the Raft library failed: {reason}"));
+    }
+
+    /// Gives a write batch to the host to make durable, unless the replica is stopped.
     pub(super) fn persist(&mut self, batch: WriteBatch) {
+        if self.stopped {
+            return;
+        }
         self.persistence.last_batch += 1;
         let number = self.persistence.last_batch;
         if self.actions.push_batch(number, batch).is_err() {
-            self.quarantine("the host does not take its actions".to_owned());
+            self.restart("the host does not take its actions".to_owned());
         }
     }
 
-    /// Calls the Raft library, if this server has a replica. A panic in the library quarantines the replica
-    /// and does not stop the server.
+    /// Calls the Raft library, if this server has a replica. A panic in the library restarts the replica and does
+    /// not stop the server.
     pub(super) fn with_raft<T>(&mut self, call: impl FnOnce(&mut RawNode<Log>) -> T) -> Option<T> {
         let node = self.node.as_mut()?;
         match catch_panic(|| call(node)) {
@@ -119,8 +141,7 @@
                 Some(result)
             }
             Err(reason) => {
-                self.emit(Event::LogFailed { reason: reason.clone() });
-                self.quarantine(format!("the Raft library failed on the log: {reason}"));
+                self.handle_library_panic(&reason);
                 None
             }
         }
@@ -229,7 +250,7 @@
     /// Handles every `Ready` of the library, then compacts the log, finishes reads and updates the role.
     pub(super) fn process_ready(&mut self, now: Micros) {
         for _ in 0..MAX_READY_ROUNDS {
-            if self.quarantined || self.rollback_check.is_some() {
+            if self.stopped || self.rollback_check.is_some() {
                 break;
             }
             let ready = self.with_raft(|node| node.has_ready().then(|| node.ready())).flatten();
@@ -244,7 +265,7 @@
     }
 
     /// Handles one `Ready` of the library; `false` if its snapshot could not be installed and the replica is
-    /// quarantined.
+    /// stopped.
     fn handle_ready(&mut self, mut ready: Ready) -> bool {
         let messages = ready.take_messages();
         let mut batch = WriteBatch::new();
--- a/crates/replicated-store/src/replica/snapshots.rs
+++ b/crates/replicated-store/src/replica/snapshots.rs
@@ -143,13 +143,13 @@
         }
     }
 
-    /// Replaces state and log by the fetched snapshot. `None` if the snapshot cannot be decoded; the replica
-    /// is then quarantined.
+    /// Replaces state and log by the fetched snapshot. `None` if the snapshot cannot be decoded; the replica is
+    /// then restarted with what it has.
     pub(super) fn install_snapshot(&mut self, metadata: SnapshotMetadata) -> Option<WriteBatch> {
         let fetched = self.snapshots.fetched.take();
         let state = fetched.as_ref().and_then(|bytes| State::from_bytes(bytes));
         let (Some(bytes), Some(state)) = (fetched, state) else {
-            self.quarantine("a fetched snapshot cannot be decoded".to_owned());
+            self.restart("a fetched snapshot cannot be decoded".to_owned());
             return None;
         };
         self.state = state;
--- a/crates/server/src/peers/fleet/replication.rs
+++ b/crates/server/src/peers/fleet/replication.rs
@@ -2,7 +2,8 @@
 //! and operators' requests wait here for their responses.
 //!
 //! Requests for work never wait for the replica. A disk that fails, is full or holds unreadable data costs
-//! this server its part in the replicated store until the disk works again, and nothing else.
+//! this server its part in the replicated store until the disk works again, and nothing else. So does an error
+//! in the replica's program: it is started again from its disk.
 
 mod disk;
 mod event_log;
@@ -11,7 +12,7 @@
 use std::collections::VecDeque;
 
 use async_channel::{bounded, Receiver, Sender};
-use slog::{warn, Logger};
+use slog::{error, warn, Logger};
 use umberloom_membership::{MemberName, Membership};
 use umberloom_operator_config::Record as Settings;
 use umberloom_replicated_store::{Action, Micros, Priority, Replica};
@@ -38,6 +39,36 @@
     batch: WriteBatch,
 }
 
+/// How the use of a replica has ended.
+enum ReplicaEnd {
+    /// It is wrong: its store is quarantined.
+    Quarantine { reason: String },
+    /// It is started again from its store.
+    Restart { reason: String },
+}
+
+/// Why there is no replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closed {
+    /// The store is being opened for the first time.
+    Opening,
+    /// The disk failed.
+    DiskFailed,
+    /// The replica has ended, and is started again.
+    ReplicaEnded,
+}
+
+impl Closed {
+    /// Why requests of operators are rejected.
+    fn rejection(self) -> &'static str {
+        match self {
+            Closed::Opening => "its disk is being opened",
+            Closed::DiskFailed => "its disk can't be used now",
+            Closed::ReplicaEnded => "its replica is being started again",
+        }
+    }
+}
+
 /// Runs this server's replica: connects it with the disk thread, the other members and operators' requests.
 pub struct ReplicationActor {
     settings: Settings,
@@ -49,8 +80,9 @@
     disk_events: Receiver<DiskEvent>,
     /// Batches for which the disk thread's queue has no room yet.
     unwritten: VecDeque<UnwrittenBatch>,
-    /// The store was closed because of its disk and has not been opened since.
-    disk_failed: bool,
+    /// Why there is no replica, while there is none. It stays as it is while the store is tried again, which
+    /// takes its time on a busy machine.
+    closed: Closed,
     /// When the closed store is opened again; `None` while it is open or being opened.
     reopen_at: Option<Micros>,
     /// Delay before the next reopening.
@@ -79,7 +111,7 @@
             disk_event_sender,
             disk_events,
             unwritten: VecDeque::new(),
-            disk_failed: false,
+            closed: Closed::Opening,
             reopen_at: None,
             reopen_backoff: MIN_REOPEN_BACKOFF,
             opened_at: now,
@@ -114,11 +146,7 @@
     pub fn handle_request(&mut self, now: Micros, at_ms: u64, source: RequestSource, request: StoreRequest) {
         match &mut self.replica {
             Some(replica) => self.requests.handle_request(now, at_ms, source, request, replica),
-            // Also while it is tried again, which takes its time on a busy machine.
-            None if self.disk_failed => {
-                self.requests.reject_without_replica(source, "its disk can't be used now");
-            }
-            None => self.requests.reject_without_replica(source, "its disk is being opened"),
+            None => self.requests.reject_without_replica(source, self.closed.rejection()),
         }
     }
 
@@ -194,10 +222,8 @@
             if actions.is_empty() && self.unwritten.is_empty() {
                 return;
             }
-            if let Some(reason) = self.execute_round(now, membership, actions) {
-                warn!(self.log, "replica quarantined"; "reason" => reason);
-                self.quarantine_on_open = true;
-                return self.schedule_reopen(now);
+            if let Some(end) = self.execute_round(now, membership, actions) {
+                return self.end_replica(now, end);
             }
             let unwritten_before = self.unwritten.len();
             self.write_batches(now);
@@ -207,14 +233,29 @@
         }
     }
 
-    /// Sends messages and queues batches; returns the reason if the replica is to be quarantined.
+    /// Closes the store of a replica that this process can't use any more, and schedules its reopening.
+    fn end_replica(&mut self, now: Micros, end: ReplicaEnd) {
+        match end {
+            ReplicaEnd::Quarantine { reason } => {
+                warn!(self.log, "replica quarantined"; "reason" => reason);
+                self.quarantine_on_open = true;
+            }
+            ReplicaEnd::Restart { reason } => {
+                let restart_in_ms = self.next_reopen_backoff(now) / 1_000;
+                error!(self.log, "replica ended"; "reason" => reason, "restart_in_ms" => restart_in_ms);
+            }
+        }
+        self.schedule_reopen(now, Closed::ReplicaEnded);
+    }
+
+    /// Sends messages and queues batches; returns how the use of the replica has ended, if it has.
     fn execute_round(
         &mut self,
         now: Micros,
         membership: &mut Membership,
         actions: Vec<Action>,
-    ) -> Option<String> {
-        let mut quarantine_reason = None;
+    ) -> Option<ReplicaEnd> {
+        let mut end = None;
         for action in actions {
             match action {
                 Action::Send { to, bytes, priority: Priority::Heartbeat | Priority::Vote } => {
@@ -226,10 +267,11 @@
                 Action::Persist { number, batch } => {
                     self.unwritten.push_back(UnwrittenBatch { number, batch });
                 }
-                Action::Quarantine { reason } => quarantine_reason = Some(reason),
+                Action::Quarantine { reason } => end = Some(ReplicaEnd::Quarantine { reason }),
+                Action::Restart { reason } => end = Some(ReplicaEnd::Restart { reason }),
             }
         }
-        quarantine_reason
+        end
     }
 
     /// Hands batches to the disk thread until its queue is full. Without a disk they are durable at once.
--- a/crates/server/src/peers/fleet/replication/disk.rs
+++ b/crates/server/src/peers/fleet/replication/disk.rs
@@ -8,7 +8,7 @@
 use umberloom_store::writer::{OpenedStore, Quarantined, Writer, WriterEvent};
 use umberloom_store::{Config as StoreConfig, StoreError};
 
-use super::ReplicationActor;
+use super::{Closed, ReplicationActor};
 
 /// Number of batches that may wait for the disk thread.
 const WRITE_QUEUE_CAPACITY: usize = 64;
@@ -61,22 +61,32 @@
             Ok(writer) => self.writer = Some(writer),
             Err(e) => {
                 warn!(self.log, "store thread failed to start"; "error" => %e);
-                self.schedule_reopen(now);
+                self.schedule_reopen(now, Closed::DiskFailed);
             }
         }
     }
 
+    /// The delay after which a store that is closed now is reopened.
+    pub(super) fn next_reopen_backoff(&self, now: Micros) -> Micros {
+        if now >= self.opened_at + BACKOFF_RESET_AFTER {
+            MIN_REOPEN_BACKOFF
+        } else {
+            self.reopen_backoff
+        }
+    }
+
     /// Closes the store and schedules its reopening after the backoff.
-    pub(super) fn schedule_reopen(&mut self, now: Micros) {
+    pub(super) fn schedule_reopen(&mut self, now: Micros, closed: Closed) {
+        let backoff = self.next_reopen_backoff(now);
         self.replica = None;
         // Without a writer, the old thread ends once it has processed its queue.
         self.writer = None;
         self.unwritten.clear();
         // With a new channel, events that the old thread still reports about the closed store are discarded.
         (self.disk_event_sender, self.disk_events) = bounded(DISK_EVENT_CAPACITY);
-        self.disk_failed = true;
-        self.reopen_at = Some(now + self.reopen_backoff);
-        self.reopen_backoff = (2 * self.reopen_backoff).min(MAX_REOPEN_BACKOFF);
+        self.closed = closed;
+        self.reopen_at = Some(now + backoff);
+        self.reopen_backoff = (2 * backoff).min(MAX_REOPEN_BACKOFF);
     }
 
     /// Handles an event of the disk thread.
@@ -115,7 +125,6 @@
         }
         match replica {
             Ok(replica) => {
-                self.disk_failed = false;
                 let found_replica = replica.is_some();
                 info!(self.log, "store opened"; "commits" => store.generation, "found_replica" => found_replica);
                 self.start_replica(now, replica);
@@ -123,7 +132,7 @@
             Err(e) => {
                 error!(self.log, "stored replica is invalid"; "error" => %e);
                 self.quarantine_on_open = true;
-                self.schedule_reopen(now);
+                self.schedule_reopen(now, Closed::DiskFailed);
             }
         }
     }
@@ -142,10 +151,7 @@
     }
 
     fn handle_disk_failure(&mut self, now: Micros, error: &StoreError) {
-        if now >= self.opened_at + BACKOFF_RESET_AFTER {
-            self.reopen_backoff = MIN_REOPEN_BACKOFF;
-        }
-        let retry_in_ms = self.reopen_backoff / 1_000;
+        let retry_in_ms = self.next_reopen_backoff(now) / 1_000;
         warn!(self.log, "store disk failed"; "error" => %error, "retry_in_ms" => retry_in_ms);
         if matches!(error, StoreError::Full { .. }) {
             let installed_index = self.replica.as_ref().map_or(0, Replica::installed_snapshot);
@@ -153,6 +159,6 @@
         }
         // Damage found while writing is reported in `error`; the next thread quarantines the file on opening
         // it.
-        self.schedule_reopen(now);
+        self.schedule_reopen(now, Closed::DiskFailed);
     }
 }
--- a/crates/server/src/peers/fleet/replication/event_log.rs
+++ b/crates/server/src/peers/fleet/replication/event_log.rs
@@ -37,7 +37,7 @@
             error!(log, "competing replicated store detected";
                 "own" => format!("{own_store:016x}"), "led" => format!("{led_store:016x}"));
         }
-        Event::LogFailed { reason } => error!(log, "replica log failed"; "reason" => reason),
+        Event::LibraryFailed { reason } => error!(log, "raft library failed"; "reason" => reason),
         Event::CaughtUp { index, bytes, took } => {
             info!(log, "replica caught up"; "entry" => index, "bytes" => bytes, "took_ms" => took / 1_000);
         }
--- a/crates/server/src/peers/fleet/replication/tests.rs
+++ b/crates/server/src/peers/fleet/replication/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of an actor whose store folder can't be used.
+//! Tests of an actor whose store folder can't be used, and of one whose replica ends.
 
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -86,3 +86,35 @@
     handle_next_disk_event(&mut actor);
     assert_eq!(status_rejection(&mut actor), None);
 }
+
+/// Names of the files in a store's folder.
+fn file_names(folder: &TemporaryPath) -> Vec<String> {
+    let entries = std::fs::read_dir(&folder.0).expect("a folder");
+    entries.map(|entry| entry.expect("an entry").file_name().to_string_lossy().into_owned()).collect()
+}
+
+/// Guards against a copy that is lost to an error in the program: only a replica that is known to be wrong is
+/// quarantined.
+#[test]
+fn only_a_replica_that_is_wrong_is_quarantined_when_it_ends() {
+    let reason = || "a test".to_owned();
+    for (end, files) in
+        [(ReplicaEnd::Restart { reason: reason() }, 1), (ReplicaEnd::Quarantine { reason: reason() }, 2)]
+    {
+        let folder = TemporaryPath::new(&format!("ended-{files}"));
+        let mut actor = actor(&folder);
+        handle_next_disk_event(&mut actor);
+        assert_eq!(status_rejection(&mut actor), None);
+        actor.end_replica(NOW, end);
+        let rejection = status_rejection(&mut actor).expect("no replica");
+        assert!(rejection.contains("its replica is being started again"), "{rejection}");
+        assert_eq!(actor.next_timeout(), NOW + MIN_REOPEN_BACKOFF);
+        while actor.replica.is_none() {
+            // The earlier thread may still hold the file.
+            actor.open_disk(NOW);
+            handle_next_disk_event(&mut actor);
+        }
+        let names = file_names(&folder);
+        assert_eq!(names.iter().filter(|name| name.starts_with("rows.redb")).count(), files, "{names:?}");
+    }
+}
