--- a/crates/fault-harness/src/virtual_replicated_store.rs
+++ b/crates/fault-harness/src/virtual_replicated_store.rs
@@ -309,6 +309,14 @@
         self.step(to, ScheduledEvent::Message { from, process, to, bytes })
     }
 
+    /// Makes a server's replica request a snapshot from after this entry, as a server does after its disk was
+    /// full.
+    pub fn request_snapshot_after(&mut self, n: usize, index: u64) {
+        if let Some(replica) = &mut self.nodes[n].replica {
+            replica.request_snapshot_after(index);
+        }
+    }
+
     /// From now on each sync of a server's disk takes up to `max_sync` microseconds.
     pub fn set_max_sync(&mut self, n: usize, max_sync: Micros) {
         self.nodes[n].max_sync = max_sync;
--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -271,9 +271,8 @@
         let mut batch = WriteBatch::new();
         let mut snapshot_index = None;
         if !ready.snapshot().is_empty() {
-            let metadata = ready.snapshot().get_metadata().clone();
-            snapshot_index = Some(metadata.index);
-            let Some(installed) = self.install_snapshot(metadata) else { return false };
+            snapshot_index = Some(ready.snapshot().get_metadata().index);
+            let Some(installed) = self.install_snapshot(ready.snapshot()) else { return false };
             batch = batch.then(installed);
         }
         let entries = ready.take_entries();
--- a/crates/replicated-store/src/replica/snapshots.rs
+++ b/crates/replicated-store/src/replica/snapshots.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use raft::eraftpb::{Message, SnapshotMetadata};
+use raft::eraftpb::{Message, Snapshot};
+use raft::INVALID_INDEX;
 use umberloom_membership::MemberName;
 use umberloom_store::WriteBatch;
 
@@ -19,14 +20,20 @@
 /// Bytes of entries since the last snapshot after which a new one is made.
 const COMPACT_AFTER_BYTES: u64 = 8 << 20;
 
+/// A snapshot of which all chunks have been fetched.
+struct FetchedSnapshot {
+    manifest: Manifest,
+    bytes: Rc<Vec<u8>>,
+}
+
 /// The state of requesting, fetching and installing snapshots.
 pub(super) struct Snapshots {
     /// The transfer in progress, with the leader's message that offered the snapshot.
     pub(super) transfer: Option<(SnapshotTransfer, Message)>,
     /// Chunks that an earlier process has stored.
     pub(super) resumable_chunks: Vec<SnapshotChunk>,
-    /// Bytes of a completely fetched snapshot, until the library has it installed.
-    fetched: Option<Rc<Vec<u8>>>,
+    /// A completely fetched snapshot, until the library has it installed.
+    fetched: Option<FetchedSnapshot>,
     /// Whether a snapshot must be requested from the leader in place of entries.
     pub(super) request_pending: bool,
     /// Whether chunks are made durable as they arrive.
@@ -78,7 +85,10 @@
             // transfer, which makes the leader offer another one.
             return;
         }
-        if index <= committed {
+        // The library installs no snapshot from before its commit index, and one that ends there only if it has
+        // requested it.
+        let is_requested = node.raft.pending_request_snapshot != INVALID_INDEX;
+        if index < committed || (index == committed && !is_requested) {
             self.step(message);
             return;
         }
@@ -119,13 +129,14 @@
     /// Requests the next chunks, or passes the offer of a completely fetched snapshot to the library.
     pub(super) fn continue_transfer(&mut self, now: Micros) {
         let Some((transfer, offer)) = &mut self.snapshots.transfer else { return };
+        let manifest = transfer.manifest();
         if let Some(bytes) = transfer.take_snapshot() {
             let took = now - transfer.started_at();
             let offer = offer.clone();
             self.snapshots.transfer = None;
             let index = offer.get_snapshot().get_metadata().index;
             self.emit(Event::CaughtUp { index, bytes: bytes.len() as u64, took });
-            self.snapshots.fetched = Some(Rc::new(bytes));
+            self.snapshots.fetched = Some(FetchedSnapshot { manifest, bytes: Rc::new(bytes) });
             self.step(offer);
             return;
         }
@@ -135,7 +146,6 @@
             self.snapshots.transfer = None;
             return;
         }
-        let manifest = transfer.manifest();
         let sources = snapshot_sources(self.peers.iter(), manifest, offer.from);
         for (source, index) in transfer.next_requests(now, &sources) {
             let request = PeerMessage::ChunkRequest { digest: manifest.digest, index };
@@ -143,15 +153,20 @@
         }
     }
 
-    /// Replaces state and log by the fetched snapshot. `None` if the snapshot cannot be decoded; the replica is
-    /// then restarted with what it has.
-    pub(super) fn install_snapshot(&mut self, metadata: SnapshotMetadata) -> Option<WriteBatch> {
-        let fetched = self.snapshots.fetched.take();
-        let state = fetched.as_ref().and_then(|bytes| State::from_bytes(bytes));
-        let (Some(bytes), Some(state)) = (fetched, state) else {
+    /// Replaces state and log by the fetched snapshot. `None` if it was not fetched or cannot be decoded; the
+    /// replica is then restarted with what it has.
+    pub(super) fn install_snapshot(&mut self, snapshot: &Snapshot) -> Option<WriteBatch> {
+        let manifest = postcard::from_bytes::<Manifest>(&snapshot.data).ok();
+        let fetched = self.snapshots.fetched.take().filter(|fetched| Some(fetched.manifest) == manifest);
+        let Some(FetchedSnapshot { bytes, .. }) = fetched else {
+            self.restart("the snapshot to be installed was not fetched".to_owned());
+            return None;
+        };
+        let Some(state) = State::from_bytes(&bytes) else {
             self.restart("a fetched snapshot cannot be decoded".to_owned());
             return None;
         };
+        let metadata = snapshot.get_metadata().clone();
         self.state = state;
         self.snapshots.installed_index = metadata.index;
         self.comparison.forget_matches();
--- a/crates/replicated-store/tests/installed_snapshots.rs
+++ b/crates/replicated-store/tests/installed_snapshots.rs
@@ -99,3 +99,28 @@
         assert!(fleet.quarantined.is_empty(), "seed {seed}: {:?}", fleet.quarantined);
     }
 }
+
+/// Whether a server's process has installed a snapshot.
+fn has_installed_snapshot(fleet: &VirtualReplicatedStore, server: usize) -> bool {
+    fleet.replica(server).is_some_and(|replica| replica.installed_snapshot() > 0)
+}
+
+/// Guards against a requested snapshot that is passed to the library without having been fetched, as it ends at
+/// an entry that the replica has already.
+#[test]
+fn a_replica_that_has_all_entries_fetches_the_snapshot_that_it_requests() {
+    for seed in 0..4 {
+        let mut fleet = settled_fleet(3, 3, seed, short_timeouts);
+        fleet.write(0, "x", None);
+        fleet.run_until(fleet.now + SECOND).expect("no violation");
+        let requesting = any_follower(&fleet, 3);
+        fleet.kill(requesting, false);
+        fleet.start(requesting);
+        fleet.request_snapshot_after(requesting, 0);
+        fleet
+            .run_until_condition(20 * SECOND, |fleet| has_installed_snapshot(fleet, requesting))
+            .unwrap_or_else(|error| panic!("seed {seed}: {error}, restarted {:?}", fleet.restarted));
+        fleet.run_until_condition(20 * SECOND, |fleet| fleet.is_converged(3)).expect("settled");
+        assert_eq!((fleet.quarantined.as_slice(), fleet.restarted.as_slice()), (&[][..], &[][..]));
+    }
+}
