--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -5,7 +5,7 @@
 
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType};
-use raft::{RawNode, Ready};
+use raft::{RawNode, Ready, Storage};
 use rand::RngExt;
 use umberloom_membership::MemberName;
 use umberloom_store::{catch_panic, WriteBatch};
@@ -170,9 +170,13 @@
         if kind == MessageType::MsgSnapshot {
             return self.handle_snapshot_offer(now, message);
         }
-        if self.snapshots.request_pending && kind == MessageType::MsgAppend {
-            // The entries would not fit on the disk either.
-            return;
+        if kind == MessageType::MsgAppend && self.snapshots.request_pending {
+            let has_entry_of_term = node.store().term(last_index).is_ok_and(|term| term == message.term);
+            if has_entry_of_term {
+                // The entries would not fit on the disk either, and the request is about to be made.
+                return;
+            }
+            // The library makes no request before the log has an entry of the leader's term.
         }
         self.step(message);
         if self.snapshots.request_pending
--- a/crates/replicated-store/tests/installed_snapshots.rs
+++ b/crates/replicated-store/tests/installed_snapshots.rs
@@ -124,3 +124,33 @@
         assert_eq!((fleet.quarantined.as_slice(), fleet.restarted.as_slice()), (&[][..], &[][..]));
     }
 }
+
+/// Guards against a replica that catches up no more: it requested a snapshot and ignored entries meanwhile, but
+/// the library makes no request before it has an entry of the present term.
+#[test]
+fn a_replica_that_missed_an_election_gets_the_snapshot_that_it_requests() {
+    for seed in 0..4 {
+        let mut fleet = settled_fleet(5, 5, seed, |config| {
+            short_timeouts(config);
+            (config.voters, config.replace_after) = (5, 100 * SECOND);
+        });
+        let requesting = any_follower(&fleet, 5);
+        fleet.kill(requesting, false);
+        let leader = fleet.leader().expect("a leader");
+        fleet.kill(leader, false);
+        fleet.run_until_condition(20 * SECOND, |fleet| fleet.leader().is_some()).expect("a leader");
+        let new_leader = fleet.leader().expect("a leader");
+        fleet.write(new_leader, "x", None);
+        fleet.run_until(fleet.now + SECOND).expect("no violation");
+        fleet.start(requesting);
+        fleet.request_snapshot_after(requesting, 0);
+        fleet.start(leader);
+        fleet
+            .run_until_condition(20 * SECOND, |fleet| has_installed_snapshot(fleet, requesting))
+            .unwrap_or_else(|error| panic!("seed {seed}: {error}, restarted {:?}", fleet.restarted));
+        fleet
+            .run_until_condition(20 * SECOND, |fleet| fleet.is_converged(5))
+            .unwrap_or_else(|error| panic!("seed {seed}: {error}, restarted {:?}", fleet.restarted));
+        assert_eq!((fleet.quarantined.as_slice(), fleet.restarted.as_slice()), (&[][..], &[][..]));
+    }
+}
