--- a/crates/protocol-fakes/src/lib.rs
+++ b/crates/protocol-fakes/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`Dependency`] is a service that can be slow, hang, reject, send invalid replies and recover;
 //! - [`AjpServer`] answers calls over AJP, and [`ajp::FrontEnd`] sends them;
 //! - [`TestEnvironment`] runs a real server process with stand-ins for its peers;
-//! - [`loopback`] hands out addresses for such processes, [`signals`] sends them signals.
+//! - [`loopback`] hands out addresses for such processes, [`signals`] sends them signals;
+//! - [`standstill`] records when the process of the tests itself was not run.
 //!
 //! Nothing here depends on the machine's speed: every wait is for something that must happen, and has a limit
 //! only so that a failing test ends. All addresses are on loopback.
@@ -24,6 +25,7 @@
 pub mod http;
 pub mod loopback;
 pub mod signals;
+pub mod standstill;
 pub mod test_environment;
 
 pub use agent::Agent;
