--- a/crates/fault-harness/src/check.rs
+++ b/crates/fault-harness/src/check.rs
@@ -17,10 +17,10 @@
 
 /// Checks that the calls in progress at the shared dependency never exceeded its capacity.
 ///
-/// The dependency and the relays before it run in this process. While the system does not run it, calls wait to
-/// be read, and a server counts a call only until its stated time and `delivery-ms` have passed. So calls that
-/// were read late because of a standstill of this process, not of a server, are left out. If these are most of
-/// the calls, that is a violation too: too little was checked.
+/// The dependency and the relays before it run in this process. While the system does not run it, calls wait
+/// to be read, and a server counts a call only until its stated time and `delivery-ms` have passed. So calls
+/// that were read late because of a standstill of this process, not of a server, are left out. If these are
+/// most of the calls, that is a violation too: too little was checked.
 pub fn capacity_exceeded(
     intervals: &[CallInterval],
     capacity: usize,
@@ -117,8 +117,8 @@
 
     use super::*;
 
-    /// Guards against an excuse that is too wide: only calls that were read in or right after a standstill which
-    /// was long enough to delay them are left out.
+    /// Guards against an excuse that is too wide: only calls that were read in or right after a standstill
+    /// which was long enough to delay them are left out.
     #[test]
     fn only_calls_delayed_by_a_standstill_of_this_process_are_left_out() {
         let start = Instant::now();
--- a/crates/loadtest/src/soak/check.rs
+++ b/crates/loadtest/src/soak/check.rs
@@ -72,8 +72,8 @@
     }
 }
 
-/// Whether nothing is wrong but that the process had not exited, when the machine stood still: such a run has no
-/// verdict.
+/// Whether nothing is wrong but that the process had not exited, when the machine stood still: such a run has
+/// no verdict.
 pub fn has_no_verdict(violations: &[Violation]) -> bool {
     matches!(violations, [Violation::AliveAtKill { standstill: Some(_) }])
 }
--- a/crates/loadtest/src/soak/mod.rs
+++ b/crates/loadtest/src/soak/mod.rs
@@ -173,8 +173,8 @@
     next.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |seed| (seed <= last).then_some(seed + 1)).ok()
 }
 
-/// Plays the run of a seed. One in which a standstill of the machine may have kept the server from its exit is
-/// repeated, and counts as it is after [`MAX_REPETITIONS`].
+/// Plays the run of a seed. One in which a standstill of the machine may have kept the server from its exit
+/// is repeated, and counts as it is after [`MAX_REPETITIONS`].
 fn play_to_verdict(seed: u64, options: &Options, server: &Path, folder: &Path) -> Vec<Violation> {
     for _ in 0..MAX_REPETITIONS {
         let violations = play_seed(seed, options, server, folder);
--- a/crates/loadtest/src/soak/tests.rs
+++ b/crates/loadtest/src/soak/tests.rs
@@ -21,8 +21,8 @@
     }
 }
 
-/// Guards against an excuse that is too wide: a run has no verdict only if nothing but a late exit is wrong, and the
-/// machine stood still before it.
+/// Guards against an excuse that is too wide: a run has no verdict only if nothing but a late exit is wrong,
+/// and the machine stood still before it.
 #[test]
 fn only_a_late_exit_after_a_standstill_of_the_machine_has_no_verdict() {
     let alive = |standstill| Violation::AliveAtKill { standstill };
--- a/crates/protocol-fakes/src/standstill.rs
+++ b/crates/protocol-fakes/src/standstill.rs
@@ -1,8 +1,9 @@
 //! Standstills of this process: times at which the system did not run it although it had something to do.
 //!
-//! Stand-ins and checks run in the process of the tests. If a machine stops a core for a while, what a stand-in
-//! reads was sent long before, and a server that is due to exit does not come to it. A [`StandstillMonitor`] has
-//! one thread for each core, which sleeps for a short time over and over and records by how much it wakes late.
+//! Stand-ins and checks run in the process of the tests. If a machine stops a core for a while, what a
+//! stand-in reads was sent long before, and a server that is due to exit does not come to it. A
+//! [`StandstillMonitor`] has one thread for each core, which sleeps for a short time over and over and
+//! records by how much it wakes late.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
--- a/crates/protocol-fakes/tests/standstill.rs
+++ b/crates/protocol-fakes/tests/standstill.rs
@@ -1,4 +1,5 @@
-//! A standstill of the whole process of the tests, alone in a program of its own as it stops all of its threads.
+//! A standstill of the whole process of the tests, alone in a program of its own as it stops all of its
+//! threads.
 
 use std::process::Command;
 use std::thread;
--- a/crates/replicated-store/src/replica/actions.rs
+++ b/crates/replicated-store/src/replica/actions.rs
@@ -46,8 +46,8 @@
         /// The reason, for the log.
         reason: String,
     },
-    /// This process can't go on with the replica: start it again from its on-disk store, after a pause. Nothing
-    /// is known to be wrong with that store.
+    /// This process can't go on with the replica: start it again from its on-disk store, after a pause.
+    /// Nothing is known to be wrong with that store.
     Restart {
         /// The reason, for the log.
         reason: String,
--- a/crates/replicated-store/src/replica/mod.rs
+++ b/crates/replicated-store/src/replica/mod.rs
@@ -287,8 +287,8 @@
         self.process_ready(now);
     }
 
-    /// Runs the Raft ticks that are due, up to [`MAX_TICKS_PER_TIMEOUT`]. None is run while the replica must not
-    /// start an election.
+    /// Runs the Raft ticks that are due, up to [`MAX_TICKS_PER_TIMEOUT`]. None is run while the replica must
+    /// not start an election.
     fn tick(&mut self, now: Micros) {
         let may_tick = self.rollback_check.is_none() && !self.persistence.is_installing_snapshot();
         let interval = self.config.election_timeout / ELECTION_TICKS as Micros;
--- a/crates/replicated-store/src/replica/raft_driver.rs
+++ b/crates/replicated-store/src/replica/raft_driver.rs
@@ -53,8 +53,8 @@
         self.pending_steps.clear();
     }
 
-    /// Whether a snapshot is installed in memory and not durable yet. Until it is, the library can't be told that
-    /// the snapshot is applied, and would look for the entries before it if it started an election.
+    /// Whether a snapshot is installed in memory and not durable yet. Until it is, the library can't be told
+    /// that the snapshot is applied, and would look for the entries before it if it started an election.
     pub(super) fn is_installing_snapshot(&self) -> bool {
         self.pending_steps.iter().any(|step| step.snapshot_index.is_some())
     }
@@ -126,8 +126,8 @@
         }
     }
 
-    /// Calls the Raft library, if this server has a replica. A panic in the library restarts the replica and does
-    /// not stop the server.
+    /// Calls the Raft library, if this server has a replica. A panic in the library restarts the replica and
+    /// does not stop the server.
     pub(super) fn with_raft<T>(&mut self, call: impl FnOnce(&mut RawNode<Log>) -> T) -> Option<T> {
         let node = self.node.as_mut()?;
         match catch_panic(|| call(node)) {
--- a/crates/replicated-store/src/replica/snapshots.rs
+++ b/crates/replicated-store/src/replica/snapshots.rs
@@ -85,8 +85,8 @@
             // transfer, which makes the leader offer another one.
             return;
         }
-        // The library installs no snapshot from before its commit index, and one that ends there only if it has
-        // requested it.
+        // The library installs no snapshot from before its commit index, and one that ends there only if it
+        // has requested it.
         let is_requested = node.raft.pending_request_snapshot != INVALID_INDEX;
         if index < committed || (index == committed && !is_requested) {
             self.step(message);
--- a/crates/replicated-store/tests/installed_snapshots.rs
+++ b/crates/replicated-store/tests/installed_snapshots.rs
@@ -1,5 +1,5 @@
-//! Replicas that have installed a snapshot, on virtual time: they keep their copy and take part in elections at
-//! every moment from then on.
+//! Replicas that have installed a snapshot, on virtual time: they keep their copy and take part in elections
+//! at every moment from then on.
 
 mod common;
 
@@ -22,7 +22,8 @@
     config.catch_up_bytes_per_second = 2 << 20;
 }
 
-/// Runs a new fleet of three until its first server leads and has documents that the others have yet to fetch.
+/// Runs a new fleet of three until its first server leads and has documents that the others have yet to
+/// fetch.
 fn fleet_with_documents(seed: u64) -> VirtualReplicatedStore {
     let mut fleet = VirtualReplicatedStore::new(3, seed, slow_catch_up);
     fleet.run_until_condition(20 * SECOND, |fleet| fleet.leader() == Some(0)).expect("a leader");
@@ -34,8 +35,9 @@
     fleet
 }
 
-/// Guards against a majority without a leader for good: a follower that got its promotion in a snapshot, and no
-/// entry since, took its own log for invalid in the election after the leader's end and quarantined its copy.
+/// Guards against a majority without a leader for good: a follower that got its promotion in a snapshot, and
+/// no entry since, took its own log for invalid in the election after the leader's end and quarantined its
+/// copy.
 #[test]
 fn a_new_voter_keeps_its_copy_when_the_leader_is_killed_and_returns() {
     for seed in 0..8 {
@@ -105,8 +107,8 @@
     fleet.replica(server).is_some_and(|replica| replica.installed_snapshot() > 0)
 }
 
-/// Guards against a requested snapshot that is passed to the library without having been fetched, as it ends at
-/// an entry that the replica has already.
+/// Guards against a requested snapshot that is passed to the library without having been fetched, as it ends
+/// at an entry that the replica has already.
 #[test]
 fn a_replica_that_has_all_entries_fetches_the_snapshot_that_it_requests() {
     for seed in 0..4 {
@@ -125,8 +127,8 @@
     }
 }
 
-/// Guards against a replica that catches up no more: it requested a snapshot and ignored entries meanwhile, but
-/// the library makes no request before it has an entry of the present term.
+/// Guards against a replica that catches up no more: it requested a snapshot and ignored entries meanwhile,
+/// but the library makes no request before it has an entry of the present term.
 #[test]
 fn a_replica_that_missed_an_election_gets_the_snapshot_that_it_requests() {
     for seed in 0..4 {
--- a/crates/replicated-store/tests/library_panics.rs
+++ b/crates/replicated-store/tests/library_panics.rs
@@ -1,5 +1,5 @@
-//! A panic in the Raft library, or in the code that it calls, shows an error in a program: the replica goes on
-//! from its disk, with its copy and its vote.
+//! A panic in the Raft library, or in the code that it calls, shows an error in a program: the replica goes
+//! on from its disk, with its copy and its vote.
 
 mod common;
 
@@ -11,8 +11,8 @@
 use umberloom_replicated_store::message::{encode, PeerMessage};
 use umberloom_replicated_store::{Replica, Role};
 
-/// A message on which the library panics: the leader offers a snapshot at the receiver's commit index, in which
-/// the receiver is both a voter and a learner.
+/// A message on which the library panics: the leader offers a snapshot at the receiver's commit index, in
+/// which the receiver is both a voter and a learner.
 fn impossible_snapshot(leader: &Replica, receiver: &Replica, now: u64) -> Vec<u8> {
     let (to, status) = (receiver.replica_id(), receiver.status(now));
     let mut message = Message { to, from: leader.replica_id(), term: status.term, ..Message::default() };
--- a/crates/server/src/memory/idempotency_cache.rs
+++ b/crates/server/src/memory/idempotency_cache.rs
@@ -22,8 +22,8 @@
 }
 
 impl DedupKey {
-    /// The key of a request with an idempotency key. Keys are separate for each tenant, as a tenant must not get
-    /// another's result; `tenant` is `None` if no tenants are configured.
+    /// The key of a request with an idempotency key. Keys are separate for each tenant, as a tenant must not
+    /// get another's result; `tenant` is `None` if no tenants are configured.
     pub fn of_idempotency_key(class: usize, tenant: Option<usize>, key: &str) -> DedupKey {
         let key = tenant.map_or_else(|| key.to_owned(), |tenant| format!("{tenant}/{key}"));
         DedupKey { class, key }
--- a/crates/server/src/memory/known_attempts.rs
+++ b/crates/server/src/memory/known_attempts.rs
@@ -1,8 +1,8 @@
-//! What connections may ask of the idempotency cache: how to answer a request that they have read and can't pass
-//! to admission.
+//! What connections may ask of the idempotency cache: how to answer a request that they have read and can't
+//! pass to admission.
 //!
-//! Such a request is rejected, so that its caller may have it run at another server. An attempt of a request that
-//! may have run here under the same idempotency key is not: it is answered from the cache, or fails.
+//! Such a request is rejected, so that its caller may have it run at another server. An attempt of a request
+//! that may have run here under the same idempotency key is not: it is answered from the cache, or fails.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -61,8 +61,8 @@
         Some(result.map_or(Response::Failed, |result| Response::Served(result.to_vec())))
     }
 
-    /// Whether a request whose parameters were not kept may be rejected: not if it may be another attempt of one
-    /// that may have run.
+    /// Whether a request whose parameters were not kept may be rejected: not if it may be another attempt of
+    /// one that may have run.
     pub fn may_reject_unidentified(&self) -> bool {
         let cache = self.cache.borrow();
         let may_reject = |(class, idempotency): (usize, &Idempotency)| {
@@ -78,8 +78,8 @@
     }
 }
 
-/// Whether an attempt that arrived at this time is a duplicate of the original. A request without a result may be
-/// in flight, and then it has duplicates even after its key has expired.
+/// Whether an attempt that arrived at this time is a duplicate of the original. A request without a result
+/// may be in flight, and then it has duplicates even after its key has expired.
 fn is_in_window(original: &CachedRequest, result: Option<&[u8]>, arrived_at: Micros) -> bool {
     original.expires_at > arrived_at || result.is_none()
 }
--- a/crates/server/src/peers/connection/request.rs
+++ b/crates/server/src/peers/connection/request.rs
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Rejects a request whose parameters were not kept, unless it may be another attempt of one that may have
-    /// run.
+    /// Rejects a request whose parameters were not kept, unless it may be another attempt of one that may
+    /// have run.
     fn refuse_unidentified(&mut self, slot: u16, serial: u64) {
         if self.context.known_attempts.may_reject_unidentified() {
             self.reject_overloaded(slot);
--- a/crates/server/src/peers/fleet/replication.rs
+++ b/crates/server/src/peers/fleet/replication.rs
@@ -2,8 +2,8 @@
 //! and operators' requests wait here for their responses.
 //!
 //! Requests for work never wait for the replica. A disk that fails, is full or holds unreadable data costs
-//! this server its part in the replicated store until the disk works again, and nothing else. So does an error
-//! in the replica's program: it is started again from its disk.
+//! this server its part in the replicated store until the disk works again, and nothing else. So does an
+//! error in the replica's program: it is started again from its disk.
 
 mod disk;
 mod event_log;
--- a/crates/server/src/peers/listener/tests/refused_retries.rs
+++ b/crates/server/src/peers/listener/tests/refused_retries.rs
@@ -34,7 +34,8 @@
     }
 }
 
-/// The FastCGI records of a request of a class with idempotency keys, with a header of this many bytes besides.
+/// The FastCGI records of a request of a class with idempotency keys, with a header of this many bytes
+/// besides.
 fn keyed_request(server: &TestServer, slot: u16, key: &str, note_bytes: usize) -> Vec<u8> {
     let received_at = (server.context.clock.unix() / 1_000).to_string();
     let mut params = Vec::new();
@@ -152,7 +153,8 @@
     });
 }
 
-/// Guards against rejecting what may be a retry: there was no memory for its parameters, so its key is unknown.
+/// Guards against rejecting what may be a retry: there was no memory for its parameters, so its key is
+/// unknown.
 #[test]
 fn request_without_memory_for_its_key_fails_while_keyed_requests_are_known() {
     with_listener(ConnectionTable::new(600, &[1]), 60_000_000, |server| async move {
--- a/crates/server/tests/drain_notice.rs
+++ b/crates/server/tests/drain_notice.rs
@@ -69,8 +69,8 @@
     AtTheKill { unanswered_requests: answers.filter(Option::is_none).count(), was_alive, standstill }
 }
 
-/// Plays until there is a verdict: a play in which a standstill of the machine may have kept the server from its
-/// exit is repeated, and counts as it is after [`MAX_REPETITIONS`].
+/// Plays until there is a verdict: a play in which a standstill of the machine may have kept the server from
+/// its exit is repeated, and counts as it is after [`MAX_REPETITIONS`].
 fn play_to_verdict(play: impl Fn() -> AtTheKill) -> AtTheKill {
     for _ in 0..MAX_REPETITIONS {
         let at_the_kill = play();
--- a/crates/server/tests/drain_retries.rs
+++ b/crates/server/tests/drain_retries.rs
@@ -1,5 +1,5 @@
-//! Retries with an idempotency key that reach a draining server: the first attempt runs or has run there, so a
-//! rejection would have the request run a second time at another server.
+//! Retries with an idempotency key that reach a draining server: the first attempt runs or has run there, so
+//! a rejection would have the request run a second time at another server.
 
 mod common;
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -169,8 +169,8 @@
         let sequence = self.requests.enqueue(self.new_request(now, &arrival, &class, age));
         // Only one attempt with an idempotency key may run: all others wait for its answer.
         let is_duplicate = arrival.duplicate_of.is_some() && class.idempotency != Idempotency::NotIdempotent;
-        // A request that reached the machine after the drain grace must not run, so it is rejected at once unless
-        // another attempt may have run.
+        // A request that reached the machine after the drain grace must not run, so it is rejected at once
+        // unless another attempt may have run.
         let grace = self.settings.drain_grace;
         let must_not_run =
             self.drain_notified_at.is_some_and(|notified_at| received_at > notified_at + grace);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -24,9 +24,9 @@
 }
 
 impl Idempotency {
-    /// Whether an attempt may be rejected. A rejection tells the caller that the request may be run at another
-    /// server, where it would take effect again. `may_have_run` says whether any attempt of the request, this one
-    /// included, may have run at this server.
+    /// Whether an attempt may be rejected. A rejection tells the caller that the request may be run at
+    /// another server, where it would take effect again. `may_have_run` says whether any attempt of the
+    /// request, this one included, may have run at this server.
     pub fn may_reject(self, may_have_run: bool) -> bool {
         self == Idempotency::Idempotent || !may_have_run
     }
