Excuse a late exit only by a standstill of the server's own core during it

What was wrong: repeated a play with a late exit if any core had stood still for 5 ms within the last 100 ms. Beside load that is nearly always so, and a server that exits late in some plays would have passed.

Change: the standstill must be on a core on which one of the server's threads was last run, and take at least half of the 15 ms that the exit has, within these 15 ms.

--- a/crates/fault-harness/src/check.rs
+++ b/crates/fault-harness/src/check.rs
@@ -128,7 +128,7 @@
             answered_at: Some(at(from + 60)),
             stated_timeout: Duration::from_millis(300),
         };
-        let standstill = |from, to| Standstill { started_at: at(from), ended_at: at(to) };
+        let standstill = |from, to| Standstill { core: None, started_at: at(from), ended_at: at(to) };
         // Three calls are in progress at 420 ms; the last two were read in the backlog of a standstill.
         let mut calls: Vec<CallInterval> = [0, 100, 200, 400, 410, 420].map(call).to_vec();
         assert_eq!(capacity_exceeded(&calls, 1, &[standstill(330, 405)]), Vec::<String>::new());
--- a/crates/loadtest/src/soak/check.rs
+++ b/crates/loadtest/src/soak/check.rs
@@ -33,7 +33,7 @@
     AnnouncedAfterNotice { after: Duration },
     /// The process had not exited by itself.
     AliveAtKill {
-        /// The longest standstill of the machine shortly before, which may be why; `None` if there was none.
+        /// How long the server's core stood still when it was due to exit; `None` if that does not explain it.
         standstill: Option<Duration>,
     },
     /// The process ended by itself, but not with success.
@@ -63,7 +63,7 @@
             }
             Violation::AliveAtKill { standstill: None } => write!(f, "process alive at SIGKILL"),
             Violation::AliveAtKill { standstill: Some(length) } => {
-                write!(f, "process alive at SIGKILL, after a standstill of the machine of {length:.1?}")
+                write!(f, "process alive at SIGKILL, after a standstill of its core of {length:.1?}")
             }
             Violation::ExitStatus { status } => write!(f, "process ended with {status}"),
             Violation::EntryLost { name, found } => write!(f, "acknowledged entry {name} lost: {found}"),
--- a/crates/loadtest/src/soak/environment.rs
+++ b/crates/loadtest/src/soak/environment.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use umberloom_protocol_fakes::dependency::Behaviour;
 use umberloom_protocol_fakes::loopback::{free_address, unique_host};
-use umberloom_protocol_fakes::standstill::monitor;
+use umberloom_protocol_fakes::standstill::{cores_of_process, monitor};
 use umberloom_protocol_fakes::test_environment::settings;
 use umberloom_protocol_fakes::{signals, Dependency};
 
@@ -119,9 +119,10 @@
             Ok(Some(status)) if status.success() || is_ended_by_term(status) => None,
             Ok(Some(status)) => Some(Violation::ExitStatus { status: status.to_string() }),
             _ => {
+                let cores = cores_of_process(self.server.id());
                 let _ = self.server.kill();
                 let _ = self.server.wait();
-                let standstill = monitor().longest_before_kill(at);
+                let standstill = monitor().exit_delay(&cores, at);
                 (!may_be_alive).then_some(Violation::AliveAtKill { standstill })
             }
         }
--- a/crates/loadtest/src/soak/fleet_play.rs
+++ b/crates/loadtest/src/soak/fleet_play.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use umberloom_fault_harness::traffic::{Outcome, RequestOutcome, Traffic};
 use umberloom_fault_harness::{Fleet, Options as FleetOptions};
-use umberloom_protocol_fakes::standstill::monitor;
+use umberloom_protocol_fakes::standstill::{cores_of_process, monitor};
 
 use super::check::Violation;
 use super::client::CROSSING;
@@ -52,7 +52,8 @@
     let mut written = write_documents(fleet, 0, Duration::from_secs(options.seconds));
     let killed_at = stop_target(plan, fleet);
     let was_alive = fleet.servers[plan.target].exit_status().is_none();
-    let standstill = monitor().longest_before_kill(Instant::now());
+    let cores = fleet.servers[plan.target].pid().map(cores_of_process).unwrap_or_default();
+    let standstill = monitor().exit_delay(&cores, Instant::now());
     fleet.servers[plan.target].kill();
     let alive_at_kill = was_alive.then_some(Violation::AliveAtKill { standstill });
     let mut violations: Vec<Violation> = alive_at_kill.into_iter().collect();
--- a/crates/protocol-fakes/src/standstill.rs
+++ b/crates/protocol-fakes/src/standstill.rs
@@ -18,14 +18,18 @@
 pub const MIN_STANDSTILL: Duration = Duration::from_millis(5);
 /// How often a play is repeated at most because of a standstill.
 pub const MAX_REPETITIONS: usize = 3;
-/// A standstill within this time before a process is killed may be why the process has not ended by itself.
-const TIME_BEFORE_KILL: Duration = Duration::from_millis(100);
+/// A server begins its exit this long before it is killed.
+const EXIT_BEFORE_KILL: Duration = Duration::from_millis(15);
+/// Part of that time that a core must have stood still to explain why the server has not exited.
+const MIN_EXIT_DELAY: Duration = Duration::from_micros(7_500);
 /// Number of standstills that are kept, the latest ones.
 const MAX_RECORDED: usize = 10_000;
 
 /// A time during which a thread of this process was not run although it was due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standstill {
+    /// The number of the core; `None` if the system does not tell.
+    pub core: Option<usize>,
     /// When the thread was due.
     pub started_at: Instant,
     /// When it was run, or the time of the question if it has not been run by then.
@@ -43,8 +47,8 @@
 #[derive(Default)]
 struct Records {
     ended: VecDeque<Standstill>,
-    /// When each thread is due next.
-    due_at: Vec<Instant>,
+    /// The core of each thread, and when the thread is due next.
+    due_at: Vec<(Option<usize>, Instant)>,
 }
 
 /// Records the standstills of this process on all cores that it may use.
@@ -59,7 +63,8 @@
 impl StandstillMonitor {
     fn start() -> StandstillMonitor {
         let cores = usable_cores();
-        let due_at = vec![Instant::now() + CHECK_INTERVAL; cores.len()];
+        let first_due_at = Instant::now() + CHECK_INTERVAL;
+        let due_at = cores.iter().map(|core| (*core, first_due_at)).collect();
         let records = Arc::new(Mutex::new(Records { ended: VecDeque::new(), due_at }));
         for (index, core) in cores.into_iter().enumerate() {
             let records = records.clone();
@@ -72,17 +77,19 @@
     pub fn between(&self, from: Instant, to: Instant) -> Vec<Standstill> {
         let now = Instant::now();
         let records = lock(&self.0);
-        let ongoing = records.due_at.iter().map(|due_at| Standstill { started_at: *due_at, ended_at: now });
+        let ongoing = records.due_at.iter();
+        let ongoing =
+            ongoing.map(|(core, due_at)| Standstill { core: *core, started_at: *due_at, ended_at: now });
         let all = records.ended.iter().copied().chain(ongoing);
         all.filter(|standstill| standstill.length() >= MIN_STANDSTILL)
             .filter(|standstill| standstill.started_at <= to && standstill.ended_at >= from)
             .collect()
     }
 
-    /// The length of the longest standstill that may have kept a process from its end until it was killed;
-    /// `None` if there is none. Such a play has no verdict on that end.
-    pub fn longest_before_kill(&self, killed_at: Instant) -> Option<Duration> {
-        self.longest_between(killed_at - TIME_BEFORE_KILL, killed_at)
+    /// The longest time for which one of these cores stood still when a server that ran on it was due to exit,
+    /// before it was killed; `None` if that does not explain why the server had not exited.
+    pub fn exit_delay(&self, cores: &[usize], killed_at: Instant) -> Option<Duration> {
+        longest_exit_delay(&self.between(killed_at - EXIT_BEFORE_KILL, killed_at), cores, killed_at)
     }
 
     /// The length of the longest standstill that overlaps this time; `None` if there is none.
@@ -91,6 +98,32 @@
     }
 }
 
+/// See [`StandstillMonitor::exit_delay`].
+fn longest_exit_delay(standstills: &[Standstill], cores: &[usize], killed_at: Instant) -> Option<Duration> {
+    let on_these_cores = standstills.iter().filter(|s| s.core.is_some_and(|core| cores.contains(&core)));
+    let delay = |standstill: &Standstill| {
+        let from = standstill.started_at.max(killed_at - EXIT_BEFORE_KILL);
+        standstill.ended_at.min(killed_at).saturating_duration_since(from)
+    };
+    on_these_cores.map(delay).filter(|delay| *delay >= MIN_EXIT_DELAY).max()
+}
+
+/// The cores on which the threads of a process were last run; none if there is no such process.
+pub fn cores_of_process(pid: u32) -> Vec<usize> {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{pid}/task")) else { return Vec::new() };
+    let stats =
+        threads.flatten().filter_map(|thread| std::fs::read_to_string(thread.path().join("stat")).ok());
+    stats.filter_map(|stat| last_core(&stat)).collect()
+}
+
+/// The field `processor` of a thread's `stat` file. The fields are counted from the end of the thread's name,
+/// which may contain spaces and parentheses.
+fn last_core(stat: &str) -> Option<usize> {
+    const FIELDS_BEFORE_PROCESSOR: usize = 36;
+    let (_, fields) = stat.rsplit_once(')')?;
+    fields.split_whitespace().nth(FIELDS_BEFORE_PROCESSOR)?.parse().ok()
+}
+
 fn lock(records: &Mutex<Records>) -> MutexGuard<'_, Records> {
     records.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -111,9 +144,9 @@
     }
     loop {
         let due_at = Instant::now() + CHECK_INTERVAL;
-        lock(records).due_at[index] = due_at;
+        lock(records).due_at[index].1 = due_at;
         thread::sleep(CHECK_INTERVAL);
-        let standstill = Standstill { started_at: due_at, ended_at: Instant::now() };
+        let standstill = Standstill { core, started_at: due_at, ended_at: Instant::now() };
         if standstill.length() < MIN_STANDSTILL {
             continue;
         }
@@ -124,3 +157,6 @@
         records.ended.push_back(standstill);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/protocol-fakes/src/test_environment.rs
+++ b/crates/protocol-fakes/src/test_environment.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 
 use crate::loopback::{free_address, unique_host};
-use crate::signals;
+use crate::{signals, standstill};
 use crate::{Agent, Announce, Balancer, Records, Request};
 
 /// Upper bound of every wait.
@@ -222,13 +222,15 @@
         signals::send(self.server.id(), name).expect("a server that has not been waited for");
     }
 
-    /// Sends SIGKILL at `at`, unless the server has ended by then. Returns whether it was still running.
-    pub fn kill_at(&mut self, at: Instant) -> bool {
+    /// Sends SIGKILL at `at`, unless the server has ended by then. Returns whether it was still running, and the
+    /// standstill of its core that may be why.
+    pub fn kill_at(&mut self, at: Instant) -> (bool, Option<Duration>) {
         std::thread::sleep(at.saturating_duration_since(Instant::now()));
         let is_running = self.is_alive();
+        let cores = standstill::cores_of_process(self.server.id());
         self.server.kill().expect("killed");
         self.server.wait().expect("ended");
-        is_running
+        (is_running, standstill::monitor().exit_delay(&cores, at))
     }
 
     /// Starts the server again after it has ended.
--- a/crates/server/tests/drain_notice.rs
+++ b/crates/server/tests/drain_notice.rs
@@ -45,7 +45,7 @@
     unanswered_requests: usize,
     /// Whether the server had not exited by itself.
     was_alive: bool,
-    /// The longest standstill of the machine shortly before, if there was one.
+    /// How long the server's core stood still when it was due to exit, if that explains a late exit.
     standstill: Option<Duration>,
 }
 
@@ -62,9 +62,7 @@
 
 /// Kills the server [`STOP_MS`] after `notified_at`.
 fn kill(mut env: TestEnvironment, balancers: Vec<Balancer>, notified_at: Instant) -> AtTheKill {
-    let kill_at = notified_at + Duration::from_millis(STOP_MS);
-    let was_alive = env.kill_at(kill_at);
-    let standstill = monitor().longest_before_kill(kill_at);
+    let (was_alive, standstill) = env.kill_at(notified_at + Duration::from_millis(STOP_MS));
     let answers = balancers.into_iter().map(|mut balancer| balancer.try_answer());
     AtTheKill { unanswered_requests: answers.filter(Option::is_none).count(), was_alive, standstill }
 }
