Fail the 33rd request on a connection while it may be a retry that has run

A request beyond the 32 open ones of a connection was answered OVERLOADED, "never ran", before its key was read. A balancer that stops waiting gives no sign, so what it has given up stays open here, and it may come to the limit without knowing.

Cause: the codec rejected such a request by itself, without any knowledge of keys.

Change: the codec hands it out unread, and the connection rejects it only while no keyed request is known; else it fails. It stays unopened and bounded as before. The codec's test asserts that 32 are opened, the 33rd is handed out, and its rejection has the same bytes.

--- a/crates/loadtest/src/soak/check.rs
+++ b/crates/loadtest/src/soak/check.rs
@@ -33,7 +33,8 @@
     AnnouncedAfterNotice { after: Duration },
     /// The process had not exited by itself.
     AliveAtKill {
-        /// How long the server's core stood still when it was due to exit; `None` if that does not explain it.
+        /// How long the server's core stood still when it was due to exit; `None` if that does not explain
+        /// it.
         standstill: Option<Duration>,
     },
     /// The process ended by itself, but not with success.
--- a/crates/protocol-fakes/src/standstill.rs
+++ b/crates/protocol-fakes/src/standstill.rs
@@ -86,8 +86,8 @@
             .collect()
     }
 
-    /// The longest time for which one of these cores stood still when a server that ran on it was due to exit,
-    /// before it was killed; `None` if that does not explain why the server had not exited.
+    /// The longest time for which one of these cores stood still when a server that ran on it was due to
+    /// exit, before it was killed; `None` if that does not explain why the server had not exited.
     pub fn exit_delay(&self, cores: &[usize], killed_at: Instant) -> Option<Duration> {
         longest_exit_delay(&self.between(killed_at - EXIT_BEFORE_KILL, killed_at), cores, killed_at)
     }
--- a/crates/protocol-fakes/src/standstill/tests.rs
+++ b/crates/protocol-fakes/src/standstill/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// Guards against an excuse that is too wide: a standstill explains a late exit only on a core of the server, and
-/// only if it takes half of the time that the server has for it.
+/// Guards against an excuse that is too wide: a standstill explains a late exit only on a core of the server,
+/// and only if it takes half of the time that the server has for it.
 #[test]
 fn only_a_standstill_of_the_servers_core_during_its_exit_explains_a_late_one() {
     let killed_at = Instant::now() + Duration::from_secs(1);
--- a/crates/protocol-fakes/src/test_environment.rs
+++ b/crates/protocol-fakes/src/test_environment.rs
@@ -222,8 +222,8 @@
         signals::send(self.server.id(), name).expect("a server that has not been waited for");
     }
 
-    /// Sends SIGKILL at `at`, unless the server has ended by then. Returns whether it was still running, and the
-    /// standstill of its core that may be why.
+    /// Sends SIGKILL at `at`, unless the server has ended by then. Returns whether it was still running, and
+    /// the standstill of its core that may be why.
     pub fn kill_at(&mut self, at: Instant) -> (bool, Option<Duration>) {
         std::thread::sleep(at.saturating_duration_since(Instant::now()));
         let is_running = self.is_alive();
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -137,6 +137,10 @@
             Incoming::Abort(slot) => {
                 self.open_requests.get(&slot).cloned().and_then(OpenRequest::into_cancellation)
             }
+            Incoming::TooManyOpen(slot) => {
+                self.refuse_unopened(slot);
+                None
+            }
             Incoming::Request { slot, params, body, dropped } => {
                 if dropped != Some(DroppedContent::TooLong) {
                     // Any complete request proves that the peer speaks the protocol.
--- a/crates/server/src/peers/connection/request.rs
+++ b/crates/server/src/peers/connection/request.rs
@@ -160,6 +160,18 @@
         }
     }
 
+    /// Rejects a request that was begun beyond the limit for a connection, unless it may be another attempt
+    /// of one that may have run. A load balancer that has stopped waiting for requests which are still open
+    /// here may come to the limit without knowing.
+    pub(super) fn refuse_unopened(&mut self, slot: u16) {
+        if self.context.known_attempts.may_reject_unidentified() {
+            self.responder.reject(slot, ProtocolStatus::Overloaded);
+        } else {
+            let content = cgi::encode_response(&Response::Failed, self.context.load_hint.get());
+            self.responder.respond_unopened(slot, &content);
+        }
+    }
+
     fn reject_overloaded(&mut self, slot: u16) {
         self.open_requests.remove(&slot);
         self.responder.reject(slot, ProtocolStatus::Overloaded);
--- a/crates/server/src/peers/listener/tests/refused_retries.rs
+++ b/crates/server/src/peers/listener/tests/refused_retries.rs
@@ -174,3 +174,30 @@
         assert!(answers[0].0 == 0 && answers[0].1.starts_with("Status: 500 "), "{answers:?}");
     });
 }
+
+/// Guards against rejecting what may be a retry: its caller has stopped waiting for the requests that are
+/// open on the connection, and the request beyond the limit is answered before its key is read.
+#[test]
+fn request_beyond_the_limit_of_a_connection_fails_while_keyed_requests_are_known() {
+    with_listener(ConnectionTable::new(9, &[1]), 60_000_000, |server| async move {
+        for (first, expected_status) in [(None, None), (Some("ended"), Some("Status: 500 "))] {
+            first.into_iter().for_each(|key| server.remember(key, Some(b"known result")));
+            let mut client = server.connect().await;
+            let limit = MAX_OPEN_REQUESTS as u16;
+            for slot in 1..=limit {
+                write_now(&client, &keyed_request(&server, slot, &format!("open-{slot}"), 0));
+                // Admission keeps the request open.
+                let message = within_timeout(server.messages.recv()).await.expect("a message");
+                server.unanswered.borrow_mut().push(message);
+            }
+            write_now(&client, &keyed_request(&server, limit + 1, "ended", 0));
+            let answers = read_answers(&mut client, 1).await;
+            match expected_status {
+                None => assert_eq!(answers, [(OVERLOADED, String::new())]),
+                Some(status) => {
+                    assert!(answers[0].0 == 0 && answers[0].1.starts_with(status), "{answers:?}");
+                }
+            }
+        }
+    });
+}
--- a/crates/server/src/wire/responder.rs
+++ b/crates/server/src/wire/responder.rs
@@ -47,6 +47,9 @@
     },
     /// The load balancer aborts a complete request, given by its id, that is not answered yet.
     Abort(u16),
+    /// A request, given by its id, was begun beyond [`MAX_OPEN_REQUESTS`]. It is not open, and its further
+    /// records are skipped; [`Responder::respond_unopened`] or [`Responder::reject`] answers it.
+    TooManyOpen(u16),
 }
 
 /// A record whose header was read and whose content is taken as it arrives.
@@ -148,7 +151,7 @@
         let slot = header.request;
         let incoming = match header.kind {
             kind::GET_VALUES => self.answer_get_values(content).map(|()| None)?,
-            kind::BEGIN_REQUEST => self.begin_request(slot, content).map(|()| None)?,
+            kind::BEGIN_REQUEST => self.begin_request(slot, content)?,
             kind::ABORT_REQUEST => self.handle_abort(slot),
             kind => self.handle_stream_end(kind, slot),
         };
@@ -209,12 +212,17 @@
     /// Writes the response to a request. Does nothing if the request is not open.
     pub fn respond(&mut self, slot: u16, content: &[u8]) {
         if self.remove_request(slot) {
-            fastcgi::write_record(&mut self.output, kind::STDOUT, slot, content);
-            fastcgi::write_record(&mut self.output, kind::STDOUT, slot, &[]);
-            fastcgi::write_end_request(&mut self.output, slot, 0, ProtocolStatus::Complete);
+            self.respond_unopened(slot, content);
         }
     }
 
+    /// Writes the response to a request that was not opened (see [`Incoming::TooManyOpen`]).
+    pub fn respond_unopened(&mut self, slot: u16, content: &[u8]) {
+        fastcgi::write_record(&mut self.output, kind::STDOUT, slot, content);
+        fastcgi::write_record(&mut self.output, kind::STDOUT, slot, &[]);
+        fastcgi::write_end_request(&mut self.output, slot, 0, ProtocolStatus::Complete);
+    }
+
     /// Ends a request with a protocol status and without a response.
     pub fn reject(&mut self, slot: u16, status: ProtocolStatus) {
         self.remove_request(slot);
@@ -227,7 +235,7 @@
         removed.is_some()
     }
 
-    fn begin_request(&mut self, slot: u16, content: &[u8]) -> Result<(), MalformedInput> {
+    fn begin_request(&mut self, slot: u16, content: &[u8]) -> Result<Option<Incoming>, MalformedInput> {
         let [role_high, role_low, flags, ..] = *content else {
             return Err(MalformedInput::ShortBeginRequest);
         };
@@ -237,11 +245,11 @@
         if u16::from_be_bytes([role_high, role_low]) != RESPONDER_ROLE {
             self.reject(slot, ProtocolStatus::UnknownRole);
         } else if self.slots.len() >= MAX_OPEN_REQUESTS {
-            self.reject(slot, ProtocolStatus::Overloaded);
+            return Ok(Some(Incoming::TooManyOpen(slot)));
         } else {
             self.slots.insert(slot, OpenRequest::new(flags & KEEP_CONNECTION_FLAG != 0));
         }
-        Ok(())
+        Ok(None)
     }
 
     /// Ends a request that the load balancer has aborted, without a response.
--- a/crates/server/src/wire/responder/tests.rs
+++ b/crates/server/src/wire/responder/tests.rs
@@ -104,11 +104,13 @@
 }
 
 #[test]
-fn requests_beyond_the_limit_are_rejected_as_overloaded() {
+fn requests_beyond_the_limit_are_not_opened_and_can_be_rejected() {
     let mut responder = Responder::default();
-    for slot in 1..=33 {
-        feed(&mut responder, &begin(slot, 1, 1)).expect("valid");
+    for slot in 1..=32 {
+        assert_eq!(feed(&mut responder, &begin(slot, 1, 1)), Ok(vec![]));
     }
+    assert_eq!(feed(&mut responder, &begin(33, 1, 1)), Ok(vec![Incoming::TooManyOpen(33)]));
+    responder.reject(33, ProtocolStatus::Overloaded);
     assert_eq!(parse_records(&responder.output), vec![(kind::END_REQUEST, 33, vec![0, 0, 0, 0, 2, 0, 0, 0])]);
     assert_eq!(responder.open_requests(), MAX_OPEN_REQUESTS);
     // Further records of the rejected request are ignored.
