--- a/crates/server/src/memory/known_attempts.rs
+++ b/crates/server/src/memory/known_attempts.rs
@@ -14,7 +14,7 @@
 
 /// An attempt that can't be passed to admission.
 #[derive(Clone, Copy, Debug)]
-pub struct RefusedAttempt<'a> {
+pub struct UnadmittedAttempt<'a> {
     /// Index of its class in the settings.
     pub class: usize,
     /// Index of its tenant in the settings, 0 if the settings have no tenants.
@@ -44,7 +44,7 @@
     }
 
     /// The response to an attempt of which another one may have run; `None` if the attempt may be rejected.
-    pub fn response_to(&self, attempt: &RefusedAttempt) -> Option<Response> {
+    pub fn response_to(&self, attempt: &UnadmittedAttempt) -> Option<Response> {
         let idempotency = *self.idempotency.get(attempt.class)?;
         let cache = self.cache.borrow();
         let dedup_key = self.dedup_key(attempt, idempotency);
@@ -71,7 +71,7 @@
         self.idempotency.iter().enumerate().all(may_reject)
     }
 
-    fn dedup_key(&self, attempt: &RefusedAttempt, idempotency: Idempotency) -> Option<DedupKey> {
+    fn dedup_key(&self, attempt: &UnadmittedAttempt, idempotency: Idempotency) -> Option<DedupKey> {
         let key = attempt.idempotency_key.filter(|_| idempotency == Idempotency::WithKey)?;
         let tenant = self.has_tenants.then_some(attempt.tenant);
         Some(DedupKey::of_idempotency_key(attempt.class, tenant, key))
--- a/crates/server/src/memory/known_attempts/tests.rs
+++ b/crates/server/src/memory/known_attempts/tests.rs
@@ -21,8 +21,8 @@
     KnownAttempts::new(&settings, Rc::new(RefCell::new(cache)))
 }
 
-fn attempt(class: usize, key: &'static str, arrived_at: Micros) -> RefusedAttempt<'static> {
-    RefusedAttempt { class, tenant: 0, idempotency_key: Some(key), body: b"body", arrived_at }
+fn attempt(class: usize, key: &'static str, arrived_at: Micros) -> UnadmittedAttempt<'static> {
+    UnadmittedAttempt { class, tenant: 0, idempotency_key: Some(key), body: b"body", arrived_at }
 }
 
 #[test]
@@ -33,7 +33,7 @@
     assert_eq!(known.response_to(&attempt(KEYED_CLASS, "k", EXPIRES_AT)), None, "the key has expired");
     assert_eq!(known.response_to(&attempt(KEYED_CLASS, "other", 0)), None);
     assert_eq!(known.response_to(&attempt(0, "k", 0)), None, "a read may run elsewhere");
-    let without_key = RefusedAttempt { idempotency_key: None, ..attempt(KEYED_CLASS, "k", 0) };
+    let without_key = UnadmittedAttempt { idempotency_key: None, ..attempt(KEYED_CLASS, "k", 0) };
     assert_eq!(known.response_to(&without_key), None);
 }
 
--- a/crates/server/src/peers/connection/input.rs
+++ b/crates/server/src/peers/connection/input.rs
@@ -138,7 +138,7 @@
                 self.open_requests.get(&slot).cloned().and_then(OpenRequest::into_cancellation)
             }
             Incoming::TooManyOpen(slot) => {
-                self.refuse_unopened(slot);
+                self.answer_unopened(slot);
                 None
             }
             Incoming::Request { slot, params, body, dropped } => {
--- a/crates/server/src/peers/connection/request.rs
+++ b/crates/server/src/peers/connection/request.rs
@@ -6,7 +6,7 @@
 use umberloom::interface::RequestId;
 
 use super::{Connection, ConnectionContext, OpenRequest, REQUEST_OVERHEAD_BYTES};
-use crate::memory::known_attempts::RefusedAttempt;
+use crate::memory::known_attempts::UnadmittedAttempt;
 use crate::messages::caller::{HealthCheck, ReplyTo, Request, Response, WorkRequest};
 use crate::messages::AdmissionMessage;
 use crate::wire::cgi::{self, CgiRequest};
@@ -59,14 +59,14 @@
         // Requests read while draining are answered here: a response that has to wait for admission might not
         // be written before the process exits.
         if self.reject_until.is_some() || self.activity.closing.get() {
-            self.refuse(slot, serial, params, &body, dropped);
+            self.answer_unadmitted(slot, serial, params, &body, dropped);
             self.draining = true;
             return None;
         }
         let reply_to = ReplyTo::new(self.own_mailbox.clone(), slot, serial);
         if dropped == Some(DroppedContent::OutOfMemory) {
             self.log_out_of_memory();
-            self.refuse_unidentified(slot, serial);
+            self.answer_unidentified(slot, serial);
             return None;
         }
         let too_long = dropped == Some(DroppedContent::TooLong);
@@ -84,7 +84,7 @@
         let bytes = params.len() + body.len() + REQUEST_OVERHEAD_BYTES;
         let Some(charge) = self.context.budget.charge(bytes) else {
             self.log_out_of_memory();
-            self.refuse_work(slot, serial, &work, &body);
+            self.answer_unadmitted_work(slot, serial, &work, &body);
             return None;
         };
         let id: RequestId = work.request.id.as_str().into();
@@ -110,7 +110,7 @@
     }
 
     /// Answers a request that can't be passed to admission.
-    fn refuse(
+    fn answer_unadmitted(
         &mut self,
         slot: u16,
         serial: u64,
@@ -119,21 +119,21 @@
         dropped: Option<DroppedContent>,
     ) {
         if dropped == Some(DroppedContent::OutOfMemory) {
-            return self.refuse_unidentified(slot, serial);
+            return self.answer_unidentified(slot, serial);
         }
         let too_long = dropped == Some(DroppedContent::TooLong);
         match validate(params, too_long, &self.context) {
-            Ok(ValidRequest::Work(work)) => self.refuse_work(slot, serial, &work, body),
+            Ok(ValidRequest::Work(work)) => self.answer_unadmitted_work(slot, serial, &work, body),
             // These never run.
             Ok(ValidRequest::HealthCheck { .. }) | Err(_) => self.reject_overloaded(slot),
         }
     }
 
     /// Rejects a request, unless another attempt of it may have run.
-    fn refuse_work(&mut self, slot: u16, serial: u64, work: &ValidWork, body: &[u8]) {
+    fn answer_unadmitted_work(&mut self, slot: u16, serial: u64, work: &ValidWork, body: &[u8]) {
         let clock = &self.context.clock;
         let read_delay = clock.unix().saturating_sub(work.request.received_at);
-        let attempt = RefusedAttempt {
+        let attempt = UnadmittedAttempt {
             class: work.class,
             tenant: work.tenant,
             idempotency_key: work.request.idempotency_key.as_deref(),
@@ -152,7 +152,7 @@
 
     /// Rejects a request whose parameters were not kept, unless it may be another attempt of one that may
     /// have run.
-    fn refuse_unidentified(&mut self, slot: u16, serial: u64) {
+    fn answer_unidentified(&mut self, slot: u16, serial: u64) {
         if self.context.known_attempts.may_reject_unidentified() {
             self.reject_overloaded(slot);
         } else {
@@ -163,7 +163,7 @@
     /// Rejects a request that was begun beyond the limit for a connection, unless it may be another attempt
     /// of one that may have run. A load balancer that has stopped waiting for requests which are still open
     /// here may come to the limit without knowing.
-    pub(super) fn refuse_unopened(&mut self, slot: u16) {
+    pub(super) fn answer_unopened(&mut self, slot: u16) {
         if self.context.known_attempts.may_reject_unidentified() {
             self.responder.reject(slot, ProtocolStatus::Overloaded);
         } else {
--- a/crates/server/src/peers/listener/tests.rs
+++ b/crates/server/src/peers/listener/tests.rs
@@ -1,6 +1,6 @@
 //! Connects to a listener over loopback; the test itself stands in for admission.
 
-mod refused_retries;
+mod unadmitted_retries;
 
 use std::cell::RefCell;
 use std::future::Future;
